Add the whole path: entries that each hold their backend servers alone

Cause: nothing stood yet. Change: a pure decision core, the platform's clients and stand-ins, the entry process and the operators' program, and a demo at the Trust's size.

--- /dev/null
+++ b/packages/core/src/events.ts
@@ -0,0 +1,102 @@
+/** Everything that can happen to an entry, as the core is told of it. All events can be written as JSON. */
+import type { AttemptEnd, LoadReport } from './limits/backendServer.js'
+import type { PeerMessage } from './membership/messages.js'
+import type { TransactionResult } from './membership/tables.js'
+import type { ClaimResult } from './retries/claims.js'
+import type { ListChange } from './routing/directory.js'
+import type { RequestSpec } from './routing/request.js'
+import type { ForwardEnd } from './routing/router.js'
+
+/** Time has passed. */
+export interface TickEvent {
+  kind: 'tick'
+}
+
+/** A caller's request, or one that another entry sent on. */
+export interface RequestEvent {
+  kind: 'request-arrived'
+  request: RequestSpec
+}
+
+/** The caller closed its connection. */
+export interface CancelledEvent {
+  kind: 'request-cancelled'
+  request: number
+}
+
+/** An attempt at a backend server ended. */
+export interface AttemptEvent {
+  kind: 'attempt-ended'
+  attempt: number
+  end: AttemptEnd
+}
+
+/** A request that was sent on to a peer came back. */
+export interface ForwardEvent {
+  kind: 'forward-ended'
+  attempt: number
+  end: ForwardEnd
+}
+
+/** A claim for an idempotency key was answered. */
+export interface ClaimEvent {
+  kind: 'claim-answered'
+  request: number
+  result: ClaimResult
+}
+
+/** Transactions were answered; without results they may or may not have taken effect. */
+export interface TransactedEvent {
+  kind: 'transacted'
+  id: number
+  results?: TransactionResult[]
+}
+
+/** A peer's message arrived. */
+export interface ReceivedEvent {
+  kind: 'received'
+  from: string
+  incarnation: string
+  message: PeerMessage
+}
+
+/** The platform's instance list was read. */
+export interface ListedEvent {
+  kind: 'listed'
+  change: ListChange
+}
+
+/** A probe of a backend server ended. */
+export interface ProbedEvent {
+  kind: 'probed'
+  server: string
+  healthy: boolean
+  report?: LoadReport
+}
+
+/** A peer's address refused the connection: no process listens there. */
+export interface PeerGoneEvent {
+  kind: 'peer-gone'
+  instance: string
+  incarnation: string
+}
+
+/** The process was asked to end. */
+export interface StopEvent {
+  kind: 'stop'
+}
+
+/** Every event. */
+export type Event =
+  | TickEvent
+  | RequestEvent
+  | CancelledEvent
+  | AttemptEvent
+  | ForwardEvent
+  | ClaimEvent
+  | TransactedEvent
+  | ReceivedEvent
+  | ListedEvent
+  | ProbedEvent
+  | PeerGoneEvent
+  | StopEvent
--- /dev/null
+++ b/packages/core/src/routing/peerChoice.ts
@@ -0,0 +1,42 @@
+/** Which other holder a request is sent on to: drawn by capacity, never by a report of room. */
+import type { Member } from '../membership/tables.js'
+import { drawWeighted, type Random } from '../random.js'
+import type { Directory, Target } from './directory.js'
+import type { Request } from './request.js'
+import type { ForwardEnd } from './router.js'
+
+const BUSY_MS = 20
+const FAILED_MS = 1000
+
+/** Draws among the holders of a service, leaving out those whose own last answer speaks against them. */
+export class PeerChoice {
+  private readonly _avoidUntil = new Map<string, number>()
+  private readonly _directory: Directory
+  private readonly _random: Random
+  private readonly _instance: string
+
+  constructor (directory: Directory, random: Random, instance: string) {
+    this._directory = directory
+    this._random = random
+    this._instance = instance
+  }
+
+  /** Another holder for the request, or undefined when all are ruled out. */
+  choose (request: Request, now: number): Member | undefined {
+    const fit = this._directory.targetsOf(request.service).filter((target) => this._isFit(target, request, now))
+    return drawWeighted(fit, (target) => target.servers, this._random)?.member
+  }
+
+  /** Remembers a peer's own last answer for a short time. */
+  noted (peer: string, end: ForwardEnd, now: number): void {
+    if (end.outcome === 'refused' || end.outcome === 'lost') this._avoidUntil.set(peer, now + FAILED_MS)
+    else if (end.busy || end.reason === 'full') this._avoidUntil.set(peer, now + BUSY_MS)
+    else this._avoidUntil.delete(peer)
+  }
+
+  private _isFit (target: Target, request: Request, now: number): boolean {
+    const peer = target.member.instance
+    if (peer === this._instance || request.sentTo.includes(peer)) return false
+    return now >= (this._avoidUntil.get(peer) ?? 0)
+  }
+}
--- /dev/null
+++ b/packages/core/src/routing/request.ts
@@ -0,0 +1,66 @@
+/** A caller's request as the core sees it. */
+
+/** Where a request stands. Only `queued` and `not-run` may be told to a caller as "not run". */
+export type RequestState = 'queued' | 'dispatched' | 'answered' | 'not-run' | 'unknown'
+
+/** Why a request was refused or ended without an answer. */
+export type Reason =
+  | 'no-holder'
+  | 'full'
+  | 'deadline'
+  | 'expired'
+  | 'shed'
+  | 'refused'
+  | 'lost'
+  | 'duplicate'
+  | 'claims-unavailable'
+  | 'too-deep'
+  | 'no-configuration'
+  | 'cancelled'
+  | 'zone-out'
+
+/** What the edge resolved of an arriving request. */
+export interface RequestSpec {
+  /** Unique at this entry. */
+  id: number
+  service: string
+  kind: string
+  idempotent: boolean
+  /** Whether the body is held, so that it can be sent again. */
+  replayable: boolean
+  weight: number
+  /** Monotonic time by which the answer is due, in milliseconds. */
+  deadlineAt: number
+  /** Calls above this one in the chain. */
+  depth: number
+  /** Whether a level above has already retried. */
+  retrySpent: boolean
+  /** Who asks; requests of one caller share their part of a queue. */
+  caller: string
+  /** The caller's key for a request that must not run twice. */
+  idempotencyKey?: string
+  /** Entries it came through before this one. */
+  hops: number
+  /** Time after which a second server may be asked as well, in milliseconds. */
+  hedgeAfterMs?: number
+  claims: 'refuse' | 'local'
+}
+
+/** A request on its way through one entry. */
+export interface Request extends RequestSpec {
+  state: RequestState
+  arrivedAt: number
+  /** Dispatches of this request so far. */
+  dispatches: number
+  /** Servers that this request was tried at. */
+  tried: string[]
+  /** Attempts not ended. */
+  open: number[]
+  /** Entries it was sent on to from here. */
+  sentTo: string[]
+  /** Whether an attempt ended without showing if it ran. */
+  ambiguous: boolean
+  hedged: boolean
+  /** Order in the queue; lower goes first. */
+  rank: number
+}
--- /dev/null
+++ b/packages/laboratory/src/index.ts
@@ -0,0 +1,2 @@
+/** Measurements and replay. */
+export {}
--- /dev/null
+++ b/packages/operator/src/index.ts
@@ -0,0 +1,3 @@
+/** The operator's program as a library, for the tests. */
+export { run } from './program.js'
+export { EXIT } from './errors.js'
--- /dev/null
+++ b/packages/platform/src/httpClient.ts
@@ -0,0 +1,78 @@
+/** Small JSON requests over Node's http, with a time-out and a budget. */
+import { Agent, request, type IncomingMessage } from 'node:http'
+import { TokenBucket } from '@gooseberryspan/core'
+import { PlatformBudgetSpent, PlatformUnavailable } from './errors.js'
+
+/** Where the platform is and how it may be used. */
+export interface HttpClientOptions {
+  /** For example `http://127.0.0.1:7000`. */
+  url: string
+  timeoutMs: number
+  /** Requests this process may send, a second. */
+  requestsPerSecond: number
+}
+
+/** An answer's status and text. */
+export interface HttpAnswer {
+  status: number
+  text: string
+}
+
+const BURST_FACTOR = 4
+const IDLE_MS = 30_000
+
+/** One connection pool to the platform. */
+export class HttpClient {
+  bytesSent = 0
+  bytesReceived = 0
+  requests = 0
+  private readonly _agent = new Agent({ keepAlive: true, maxSockets: 8, timeout: IDLE_MS })
+  private readonly _bucket: TokenBucket
+  private readonly _options: HttpClientOptions
+
+  constructor (options: HttpClientOptions) {
+    this._options = options
+    const { requestsPerSecond } = options
+    this._bucket = new TokenBucket(requestsPerSecond, requestsPerSecond * BURST_FACTOR, performance.now())
+  }
+
+  /** Sends one request and reads the whole answer. */
+  send (method: string, path: string, body?: string): Promise<HttpAnswer> {
+    if (!this._bucket.take(performance.now())) {
+      return Promise.reject(new PlatformBudgetSpent('more than %d requests a second to the platform', this._options.requestsPerSecond))
+    }
+    this.requests += 1
+    return new Promise((resolve, reject) => {
+      const fail = (error: Error): void => reject(new PlatformUnavailable(error, '%s %s', method, path))
+      const headers = body === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }
+      const call = request(new URL(path, this._options.url), { method, agent: this._agent, headers }, (answer) => {
+        collect(answer, fail, (text) => {
+          clearTimeout(timer)
+          this.bytesReceived += text.length
+          resolve({ status: answer.statusCode ?? 0, text })
+        })
+      })
+      const timer = setTimeout(() => call.destroy(new Error(`no answer within ${this._options.timeoutMs} ms`)), this._options.timeoutMs)
+      call.on('error', (error) => {
+        clearTimeout(timer)
+        fail(error)
+      })
+      this.bytesSent += body?.length ?? 0
+      call.end(body)
+    })
+  }
+
+  close (): void {
+    this._agent.destroy()
+  }
+}
+
+function collect (answer: IncomingMessage, fail: (error: Error) => void, done: (text: string) => void): void {
+  const parts: Buffer[] = []
+  answer.on('data', (part: Buffer) => parts.push(part))
+  answer.on('error', fail)
+  answer.on('close', () => {
+    if (answer.complete) done(Buffer.concat(parts).toString('utf8'))
+    else fail(new Error('the answer was cut off'))
+  })
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,6 @@
+/** The platform's services and their HTTP clients. */
+export * from './configurationStore.js'
+export * from './errors.js'
+export * from './httpClient.js'
+export * from './httpPlatform.js'
+export * from './services.js'
