Tell the next holder when handed-over requests end

Cause: a server handed over with a request in flight stayed blocked for its new holder until that request's deadline, and a planned stop before the successor was confirmed left rows that looked like a crash's. Change: the former holder tells how many of its requests are left; a leaving entry waits for joining ones and deletes its shard rows.

--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -152,6 +152,7 @@
         if (message.view > this.membership.view.version) return this.membership.hurry(now)
         return this.ownership.answerRelease(from, message, this.directory.placement, now)
       case 'release': return this.ownership.takeRelease(message, now)
+      case 'ended': return this.holdings.formerEnded(message.server, message.left, now)
       case 'news': return this._spread.heard(from, message, now)
       case 'fetch': return this._spread.fetched(from, message)
     }
@@ -203,7 +204,7 @@
   private _maybeLeave (now: number): void {
     if (this._stoppedAt === undefined || this.membership.phase === 'left') return
     if (stopProgress(this, this._stoppedAt, now) !== 'done') return
-    this.ownership.loseAll(now)
+    this.ownership.surrender(now)
     this.membership.allowLeave()
   }
 }
--- a/packages/core/src/holdings.ts
+++ b/packages/core/src/holdings.ts
@@ -8,6 +8,7 @@
 import { Prober } from './measuring/prober.js'
 import type { LeaseTimes } from './membership/lease.js'
 import type { Origin, Ownership, OwnershipListener } from './membership/ownership.js'
+import type { Member } from './membership/tables.js'
 import { shardKey, type Shard } from './membership/placement.js'
 import type { Random } from './random.js'
 import type { Directory, ListChange, ListedServer } from './routing/directory.js'
@@ -38,6 +39,7 @@
   private readonly _servers = new Map<string, BackendServer>()
   private readonly _retired = new Map<string, BackendServer>()
   private readonly _inherited = new Map<string, Inheritance>()
+  private readonly _nextHolders = new Map<string, Member>()
   private readonly _crashedShards = new Map<string, number>()
   private readonly _prober: Prober
   private readonly _options: HoldingsOptions
@@ -90,18 +92,35 @@
     this._match(shard.service, now)
   }
 
-  shardLost (shard: Shard, now: number): ServerHandover[] {
+  shardLost (shard: Shard, to: Member | undefined, now: number): ServerHandover[] {
     const handovers: ServerHandover[] = []
     for (const server of [...this._servers.values()]) {
       if (shardKey(this._options.directory.shardOf(server.place)) !== shardKey(shard)) continue
       if (server.place.service !== shard.service) continue
       handovers.push(server.handOver((attempt) => this._router.deadlineOf(attempt), now))
       this._drop(server)
+      if (to && server.inFlight > 0) this._nextHolders.set(server.place.id, to)
     }
     this._replaceQueue(shard.service, now)
     return handovers
   }
 
+  /** An attempt at a server ended: its next holder may use the slot. */
+  attemptEnded (server: BackendServer): void {
+    const to = this._nextHolders.get(server.place.id)
+    if (!to) return
+    if (server.inFlight === 0) this._nextHolders.delete(server.place.id)
+    this._options.outbox.put({ kind: 'send', to, message: { kind: 'ended', server: server.place.id, left: server.inFlight } })
+  }
+
+  /** The former holder's requests at a server have ended, but for some. */
+  formerEnded (id: string, left: number, now: number): void {
+    const server = this._servers.get(id)
+    if (!server) return
+    server.formerEnded(left, now)
+    this._router.drain(server.place.service, now)
+  }
+
   /** The instance list changed. */
   listed (change: ListChange, now: number): void {
     for (const service of this._options.directory.update(change)) this._match(service, now)
--- a/packages/core/src/limits/backendServer.ts
+++ b/packages/core/src/limits/backendServer.ts
@@ -67,7 +67,10 @@
   private _service: Service
   private readonly _invariants: Invariants
   private readonly _started = new Map<number, number>()
+  /** Until when a slot may still be taken by a request that was given up, or that a crashed holder left. */
   private _assumed: number[] = []
+  /** The same for requests of the former holder, which tells when they end. */
+  private _inherited: number[] = []
   private _state: ServerState = 'cold'
   private _limit: number
   private _credits = 0
@@ -133,7 +136,7 @@
   blockedMs (now: number): number {
     if (this._state === 'draining' || this._state === 'gone') return Infinity
     const pauseMs = Math.max(0, this._pausedUntil - now)
-    const left = this._assumed.filter((until) => until > now)
+    const left = [...this._assumed, ...this._inherited].filter((until) => until > now)
     if (left.length < this._limit) return pauseMs
     left.sort((a, b) => a - b)
     return Math.max(pauseMs, left[left.length - this._limit]! - now)
@@ -142,7 +145,8 @@
   /** Requests in flight, with those a former holder may have left behind. */
   occupied (now: number): number {
     if (this._assumed.length > 0) this._assumed = this._assumed.filter((until) => until > now)
-    return this._started.size + this._assumed.length
+    if (this._inherited.length > 0) this._inherited = this._inherited.filter((until) => until > now)
+    return this._started.size + this._assumed.length + this._inherited.length
   }
 
   /** Notes a dispatch. The limits are asserted here, where the one dispatcher counts. */
@@ -239,20 +243,28 @@
   /** What the next holder has to know. */
   handOver (deadlineOf: (attempt: number) => number, now: number): ServerHandover {
     const own = [...this._started.keys()].map((attempt) => deadlineOf(attempt) - now)
-    const assumed = this._assumed.map((until) => until - now)
+    const assumed = [...this._assumed, ...this._inherited].map((until) => until - now)
     const inFlightMs = [...own, ...assumed].filter((left) => left > 0)
     return { id: this.place.id, inFlightMs, limit: this._limit, epoch: this._epoch }
   }
 
   /** Takes over from the former holder: its requests count until their deadlines. */
   takeOver (handover: ServerHandover, now: number): void {
-    this._assumed = handover.inFlightMs.map((left) => now + left)
+    this._inherited = handover.inFlightMs.map((left) => now + left)
     this._epoch = handover.epoch
     this._limit = Math.min(this._service.slots, Math.max(1, handover.limit))
     this._lifeSignAt = now
     if (this._limit > this._service.coldLimit) this._state = this._limit >= this._service.slots ? 'warm' : 'warming'
   }
 
+  /** The former holder tells how many of its requests are left. Late words count no more. */
+  formerEnded (left: number, now: number): void {
+    if (left >= this._inherited.length) return
+    this._inherited.sort((a, b) => b - a)
+    this._inherited.length = left
+    this._assumed.push(now + SETTLE_MS)
+  }
+
   /** After a crash of the former holder: its unknown requests count for a time. */
   assume (count: number, untilMs: number): void {
     this._assumed = Array.from({ length: count }, () => untilMs)
--- a/packages/core/src/membership/messages.ts
+++ b/packages/core/src/membership/messages.ts
@@ -44,6 +44,14 @@
   servers: ServerHandover[]
 }
 
+/** The former holder's requests at a server, as they end. */
+export interface Ended {
+  kind: 'ended'
+  server: string
+  /** Requests of the sender that are still in flight there. */
+  left: number
+}
+
 /** Tells a peer what the sender has, so that either may ask for what it lacks. */
 export interface News {
   kind: 'news'
@@ -67,4 +75,4 @@
 }
 
 /** Every message between entries. */
-export type PeerMessage = PromiseRequest | PromiseAnswer | ReleaseRequest | Release | News | Fetch | CatchUp
+export type PeerMessage = PromiseRequest | PromiseAnswer | ReleaseRequest | Release | Ended | News | Fetch | CatchUp
--- a/packages/core/src/membership/ownership.ts
+++ b/packages/core/src/membership/ownership.ts
@@ -4,7 +4,7 @@
 import type { Membership } from './membership.js'
 import type { Release, ReleaseRequest } from './messages.js'
 import { shardKey, shardOfKey, type Placement, type Shard } from './placement.js'
-import { type Member, type Row, type ShardRow, type Transaction, type TransactionResult } from './tables.js'
+import { rowOf, type Member, type Row, type ShardRow, type Transaction, type TransactionResult } from './tables.js'
 import type { Transactions } from './transactions.js'
 import { hasIncarnation, memberOf } from './view.js'
 
@@ -36,8 +36,8 @@
 /** Told of shards that come and go. */
 export interface OwnershipListener {
   shardGained (shard: Shard, origin: Origin, servers: ServerHandover[], now: number): void
-  /** Stops all dispatching for the shard and tells what is in flight. */
-  shardLost (shard: Shard, now: number): ServerHandover[]
+  /** Stops all dispatching for the shard and tells what is in flight, to the next holder if there is one. */
+  shardLost (shard: Shard, to: Member | undefined, now: number): ServerHandover[]
 }
 
 /** What the ownership is built from. */
@@ -102,19 +102,29 @@
   /** The lease is lost for good: nothing is held any more. */
   loseAll (now: number): void {
     for (const holding of this._holdings.values()) {
-      if (holding.progress === 'active') this._options.listener.shardLost(holding.shard, now)
+      if (holding.progress === 'active') this._options.listener.shardLost(holding.shard, undefined, now)
     }
     this._holdings.clear()
     this._given.clear()
   }
 
+  /** Gives up everything in good order: nothing of this entry is in flight, so the rows may go. */
+  surrender (now: number): void {
+    const active = [...this._holdings.values()].filter((holding) => holding.progress === 'active')
+    this.loseAll(now)
+    for (let start = 0; start < active.length; start += SHARDS_AT_ONCE) {
+      const deletions = active.slice(start, start + SHARDS_AT_ONCE).map(deletionOf)
+      this._options.transactions.submit(deletions, () => {})
+    }
+  }
+
   /** The placement's new holder asks for a shard. */
   answerRelease (from: Member, request: ReleaseRequest, placement: Placement, now: number): void {
     const { membership, outbox } = this._options
     if (request.view !== placement.view.version || request.incarnation !== membership.incarnation) return
     const target = placement.holderOf(shardOfKey(request.shard))
     if (target?.instance !== from.instance || target.incarnation !== from.incarnation) return
-    const servers = this._release(request, now)
+    const servers = this._release(request, from, now)
     outbox.put({
       kind: 'send',
       to: from,
@@ -131,12 +141,12 @@
     this._claim([holding], now)
   }
 
-  private _release (request: ReleaseRequest, now: number): ServerHandover[] {
+  private _release (request: ReleaseRequest, to: Member, now: number): ServerHandover[] {
     const holding = this._holdings.get(request.shard)
     const given = this._given.get(request.shard)
     this._holdings.delete(request.shard)
     if (holding?.progress === 'active') {
-      const servers = this._options.listener.shardLost(holding.shard, now)
+      const servers = this._options.listener.shardLost(holding.shard, to, now)
       this._given.set(request.shard, { version: request.version, servers, until: now + KEEP_RELEASE_MS })
       this._options.outbox.log({ decision: 'shard-released', shard: request.shard, view: request.view, figure: servers.length })
       return servers
@@ -233,6 +243,7 @@
       return
     }
     holding.progress = 'active'
+    holding.version = rowOf(result, 'shards', key).version
     this._given.delete(key)
     outbox.log({ decision: 'shard-taken', shard: key, reason: holding.origin, view: membership.view.version })
     listener.shardGained(holding.shard, holding.origin, holding.servers, now)
@@ -249,6 +260,11 @@
       { table: 'shards', key, version: holding.version }
     ],
     writes: [{ table: 'shards', key, value }],
-    reads: []
+    reads: [{ kind: 'row', table: 'shards', key }]
   }
 }
+
+function deletionOf (holding: Holding): Transaction {
+  const key = shardKey(holding.shard)
+  return { conditions: [{ table: 'shards', key, version: holding.version }], writes: [{ table: 'shards', key }], reads: [] }
+}
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -23,6 +23,8 @@
   holderOf (service: string): ServiceHolder | undefined
   /** Whether servers of the service are on their way here. */
   isComing (service: string): boolean
+  /** Told when an attempt at a server has ended. */
+  attemptEnded (server: BackendServer): void
   /** Whether this entry may dispatch at this moment. */
   mayDispatch (now: number): boolean
 }
@@ -106,6 +108,7 @@
     if (!attempt?.server || !attempt.holder) return
     this._close(attempt)
     attempt.holder.ended(attempt.server, id, end, now)
+    this._options.holdings.attemptEnded(attempt.server)
     const { request } = attempt
     if (this._requests.has(request.id)) this._settle(request, attempt, end, now)
     this.drain(request.service, now)
@@ -342,6 +345,7 @@
     if (!attempt.server || !attempt.holder) return
     const late = now >= attempt.request.deadlineAt
     attempt.holder.ended(attempt.server, id, { outcome: late ? 'expired' : 'cancelled', latencyMs: now - attempt.startedAt }, now)
+    this._options.holdings.attemptEnded(attempt.server)
   }
 
   private _maybeHedge (attempt: Attempt, now: number): void {
--- a/packages/core/src/stopProgress.ts
+++ b/packages/core/src/stopProgress.ts
@@ -10,7 +10,7 @@
 /** How far a stop has come. */
 export function stopProgress (core: EntryCore, stoppedAt: number | undefined, now: number): StopProgress {
   if (stoppedAt === undefined) return 'running'
-  const others = core.membership.view.members.some((member) => member.state === 'confirmed')
+  const others = core.membership.view.members.some((member) => member !== core.membership.self && member.state !== 'stopping')
   const waits = others && now - stoppedAt < LONGEST_HANDOVER_MS
   if (core.ownership.active.length > 0 && waits) return 'handing-over'
   if (core.router.open > 0) return 'answering'
--- a/packages/entry/src/peers/messageSchema.ts
+++ b/packages/entry/src/peers/messageSchema.ts
@@ -25,6 +25,7 @@
   }),
   z.object({ kind: z.literal('release-request'), shard: z.string(), incarnation: z.string(), version: z.int(), view: z.int() }),
   z.object({ kind: z.literal('release'), shard: z.string(), version: z.int(), view: z.int(), servers: z.array(server) }),
+  z.object({ kind: z.literal('ended'), server: z.string(), left: z.int() }),
   z.object({ kind: z.literal('news'), ...named }),
   z.object({ kind: z.literal('fetch'), ...named }),
   z.object({
