--- a/packages/core/src/configuration/spread.ts
+++ b/packages/core/src/configuration/spread.ts
@@ -69,6 +69,11 @@
     if (has.revision < revisions.revision || has.view < membership.view.version) this._answer(from, has)
   }
 
+  /** A change accepted through this entry goes on at once, whether or not the table can still be read. */
+  accepted (document: AcceptedDocument, now: number): void {
+    this._take([], document, now)
+  }
+
   /** A peer asks for what it lacks. */
   fetched (from: Member, fetch: Fetch): void {
     this._answer(from, fetch)
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -44,6 +44,7 @@
   private readonly _spread: Spread
   private _nextStepAt = 0
   private _nextProbeAt = 0
+  private _told = false
   private _stoppedAt: number | undefined
   private _now = 0
 
@@ -119,6 +120,7 @@
       case 'listed': return this._listed(event.change, now)
       case 'probed': return this.holdings.probed(event, now)
       case 'peer-gone': return this.membership.peerGone(event.instance, event.incarnation)
+      case 'accepted': return this._spread.accepted(event.accepted, now)
       case 'stop': return this._stop(now)
     }
   }
@@ -134,6 +136,10 @@
       this.holdings.probe(now)
     }
     this._maybeLeave(now)
+    if (this.membership.phase === 'left' && this.router.open === 0 && !this._told) {
+      this._told = true
+      this._outbox.put({ kind: 'left' })
+    }
   }
 
   private _received (event: ReceivedEvent, now: number): void {
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -1,4 +1,5 @@
 /** Everything that can happen to an entry, as the core is told of it. All events can be written as JSON. */
+import type { AcceptedDocument } from './configuration/revisions.js'
 import type { AttemptEnd, LoadReport } from './limits/backendServer.js'
 import type { PeerMessage } from './membership/messages.js'
 import type { TransactionResult } from './membership/tables.js'
@@ -81,6 +82,12 @@
   incarnation: string
 }
 
+/** An operator's change was accepted through this entry. */
+export interface AcceptedEvent {
+  kind: 'accepted'
+  accepted: AcceptedDocument
+}
+
 /** The process was asked to end. */
 export interface StopEvent {
   kind: 'stop'
@@ -99,4 +106,5 @@
   | ListedEvent
   | ProbedEvent
   | PeerGoneEvent
+  | AcceptedEvent
   | StopEvent
--- a/packages/core/src/membership/lease.ts
+++ b/packages/core/src/membership/lease.ts
@@ -13,7 +13,7 @@
 }
 
 /** Defaults for the lease. */
-export const LEASE_TIMES: LeaseTimes = { termMs: 6000, renewMs: 2000, marginMs: 1000, abandonMs: 900_000 }
+export const LEASE_TIMES: LeaseTimes = { termMs: 4000, renewMs: 1300, marginMs: 600, abandonMs: 900_000 }
 
 /** Extends from before the renewal was sent, so that the holder's count ends before any taker's. */
 export class Lease {
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -50,6 +50,7 @@
   private _leaseVersion = 0
   private _sequence = 0
   private _members = new Map<string, Member>()
+  private _watched: Member[] = []
   private _syncing = false
   private _nextSyncAt = 0
   private _lastSyncAt = -Infinity
@@ -224,7 +225,7 @@
       { kind: 'row', table: 'view', key: 'current' },
       { kind: 'row', table: 'configuration', key: 'revision' },
       { kind: 'changed', table: 'members', since: this._sequence },
-      ...this._watched().map((member) => ({ kind: 'row' as const, table: 'leases' as const, key: member.instance }))
+      ...this._watched.map((member) => ({ kind: 'row' as const, table: 'leases' as const, key: member.instance }))
     ]
     if (!this.self || this._leaseVersion === 0) return { conditions: [], writes: [], reads }
     reads.push({ kind: 'row', table: 'leases', key: instance })
@@ -236,12 +237,12 @@
     }
   }
 
-  private _watched (): Member[] {
+  private _watchedIn (view: View): Member[] {
     const self = this.self
     if (!self) return []
-    const all = evictors(this._view).filter((member) => member.instance !== self.instance)
+    const all = evictors(view).filter((member) => member.instance !== self.instance)
     if (self.state === 'joining') return all
-    return evictable(this._view, self)
+    return evictable(view, self)
   }
 
   private _synced (result: TransactionResult, renewing: boolean, sentAt: number, now: number): void {
@@ -249,7 +250,7 @@
     this._takeMembers(result, now)
     const revision = rowOf(result, 'configuration', 'revision').value as RevisionRow | undefined
     if (revision) this._options.listener.revisionSeen(revision.revision, now)
-    for (const member of this._watched()) {
+    for (const member of this._watched) {
       this._watch.saw(member.instance, rowOf(result, 'leases', member.instance).version, now)
     }
     this._advance(result, now)
@@ -284,8 +285,8 @@
   private _enforce (view: View, now: number): void {
     this._view = view
     this._options.outbox.log({ decision: 'view-adopted', view: view.version, figure: view.members.length })
-    const watched = new Set(this._watched().map((member) => member.instance))
-    this._watch.keep(watched)
+    this._watched = this._watchedIn(view)
+    this._watch.keep(new Set(this._watched.map((member) => member.instance)))
     if (view.members.some((member) => member.state === 'joining')) this.hurry(now)
     if (this._phase === 'joined' && !this.self) this._lost(now)
     this._options.listener.viewChanged(now)
@@ -367,11 +368,10 @@
     this._phase = 'left'
     this.lease.lose()
     this._options.outbox.log({ decision: 'left', instance: this._options.identity.instance, view: this._view.version })
-    this._options.outbox.put({ kind: 'left' })
   }
 
   private _evictLapsed (self: Member, now: number): void {
-    for (const member of this._watched()) {
+    for (const member of this._watched) {
       const version = this._watch.evictable(member.instance, this._waitMs(self, member), now)
       if (version === undefined) {
         this._askAfter(self, member, now)
--- a/packages/core/src/membership/view.ts
+++ b/packages/core/src/membership/view.ts
@@ -1,5 +1,5 @@
 /** The set of entries at one version, and who watches whom in it. */
-import { hash } from '../hash.js'
+import { rendezvous } from '../hash.js'
 import type { Member, Split } from './tables.js'
 
 /** All entries at one point in the table service's history. Views are totally ordered by version. */
@@ -36,17 +36,27 @@
 }
 
 /**
- * The two members that watch one: the first from another region if there is one, the second from
- * another zone of its own. A member that joins or goes only changes the watchers of those for whom
- * it is a watcher itself; the proof that nobody is evicted too early rests on that.
+ * The members that watch one: from the first two groups that have any, in this order: the next region,
+ * the other zones of its own region in turn, its own zone, the other regions. A holder that loses both
+ * the table and a whole zone beside its own thus loses consent too, and cannot miss a change for long.
+ * A member that joins or goes only changes the watchers of those for whom it is a watcher itself;
+ * the proof that nobody is evicted too early rests on that.
  */
 export function watchersOf (members: readonly Member[], watched: Member): Member[] {
-  const first = best(members, watched, undefined, farRank)
-  if (!first) return []
-  const second = best(members, watched, first, nearRank)
-  return second ? [first, second] : [first]
+  const groups = groupsOf(members, watched)
+  const found: Member[] = []
+  for (const group of groups) {
+    const member = best(group, watched, undefined)
+    if (member) found.push(member)
+    if (found.length === WATCHERS) return found
+  }
+  const second = groups[0] && best(groups[0], watched, found[0])
+  return second ? [...found, second] : found
 }
 
+/** Entries that watch one entry's lease. */
+export const WATCHERS = 2
+
 /** Members whose consent the holder needs when it cannot renew: its watchers, with and without joining ones. */
 export function promisorsOf (view: View, watched: Member): Member[] {
   const found = watchersOf(evictors(view), watched)
@@ -56,31 +66,25 @@
   return found
 }
 
-type Rank = (member: Member, watched: Member) => number
-
-function farRank (member: Member, watched: Member): number {
-  if (member.region !== watched.region) return 2
-  return member.zone === watched.zone ? 0 : 1
+function groupsOf (members: readonly Member[], watched: Member): Member[][] {
+  const others = members.filter((member) => member.instance !== watched.instance)
+  const regions = after(others.map((member) => member.region), watched.region)
+  const near = others.filter((member) => member.region === watched.region)
+  const zones = after(near.map((member) => member.zone), watched.zone)
+  const inRegion = (region: string): Member[] => others.filter((member) => member.region === region)
+  const inZone = (zone: string): Member[] => near.filter((member) => member.zone === zone)
+  const [nextRegion, ...farRegions] = regions
+  const groups = [...zones.map(inZone), inZone(watched.zone), ...farRegions.map(inRegion)]
+  if (nextRegion !== undefined) groups.unshift(inRegion(nextRegion))
+  return groups.filter((group) => group.length > 0)
 }
 
-function nearRank (member: Member, watched: Member): number {
-  if (member.region !== watched.region) return 0
-  return member.zone === watched.zone ? 1 : 2
+/** The distinct names other than one's own, in a circle that starts after it. */
+function after (names: string[], own: string): string[] {
+  const distinct = [...new Set(names)].filter((name) => name !== own).sort()
+  return [...distinct.filter((name) => name > own), ...distinct.filter((name) => name < own)]
 }
 
-function best (members: readonly Member[], watched: Member, other: Member | undefined, rank: Rank): Member | undefined {
-  let found: Member | undefined
-  let foundRank = -1
-  let foundScore = -1
-  for (const member of members) {
-    if (member.instance === watched.instance || member === other) continue
-    const memberRank = rank(member, watched)
-    if (memberRank < foundRank) continue
-    const score = hash(`${watched.instance}>${member.instance}`)
-    if (memberRank === foundRank && score <= foundScore) continue
-    found = member
-    foundRank = memberRank
-    foundScore = score
-  }
-  return found
+function best (members: readonly Member[], watched: Member, other: Member | undefined): Member | undefined {
+  return rendezvous(watched.instance, members.filter((member) => member !== other), (member) => member.instance)
 }
--- a/packages/entry/src/operators/operatorListener.ts
+++ b/packages/entry/src/operators/operatorListener.ts
@@ -1,7 +1,7 @@
 /** The operators' HTTP interface: one whole document goes in, its revision or every reason against it comes out. */
 import { timingSafeEqual } from 'node:crypto'
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
-import { parseDocument, RefusedDocument, type Document, type Fault } from '@gooseberryspan/core'
+import { parseDocument, RefusedDocument, type AcceptedDocument, type Document, type Fault } from '@gooseberryspan/core'
 import type { ConfigurationStore } from '@gooseberryspan/platform'
 import { json } from '../caller/callerListener.js'
 import { BadRequest } from '../errors.js'
@@ -13,7 +13,7 @@
   store: ConfigurationStore
   status: () => unknown
   newId: () => string
-  accepted: () => void
+  accepted: (accepted: AcceptedDocument) => void
 }
 
 const MOST_DOCUMENT_BYTES = 8 * 1024 * 1024
@@ -51,7 +51,7 @@
   const outcome = await options.store.change(document, expected, typeof changeId === 'string' ? changeId : options.newId())
   switch (outcome.kind) {
     case 'accepted':
-      options.accepted()
+      options.accepted({ revision: outcome.revision, document })
       return json(response, 200, { outcome: 'accepted', revision: outcome.revision })
     case 'conflict':
       return json(response, 409, {
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -2,7 +2,7 @@
 import { randomBytes, randomInt } from 'node:crypto'
 import { StatsD } from 'hot-shots'
 import type { Logger } from 'pino'
-import { EntryCore, SeededRandom, type EntryOptions, type Invariant } from '@gooseberryspan/core'
+import { EntryCore, SeededRandom, type AcceptedDocument, type EntryOptions, type Invariant } from '@gooseberryspan/core'
 import { RESTART_POLICY, Supervisor, type Child, type SupervisorWatcher } from '@gooseberryspan/csp'
 import { ConfigurationStore, HttpPlatform } from '@gooseberryspan/platform'
 import { BackendClient } from './backend/backendClient.js'
@@ -204,7 +204,7 @@
 ): HttpListener | undefined {
   const { token, port } = options.settings.operators
   if (token === undefined) return undefined
-  const accepted = (): void => node.core.membership.hurry(performance.now())
+  const accepted = (document: AcceptedDocument): void => node.handle({ kind: 'accepted', accepted: document })
   const listener = operatorListener({ token, store, status: () => node.status(), newId, accepted })
   return new HttpListener(listener, { host: options.settings.host, port })
 }
