--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -122,7 +122,7 @@
     const { request } = attempt
     this._peers.noted(attempt.peer, end, now)
     if (!this._requests.has(request.id)) return
-    if (end.outcome === 'answered') return this._answered(request, attempt)
+    if (end.outcome === 'answered') return this._answered(request, attempt, now)
     if (end.outcome === 'not-run' || end.outcome === 'refused') return this._bounced(request, end.reason ?? 'refused', now)
     request.ambiguous = true
     this._retryOrEnd(request, end.reason ?? (end.outcome === 'expired' ? 'expired' : 'lost'), now)
@@ -279,7 +279,7 @@
 
   private _settle (request: Request, attempt: Attempt, end: AttemptEnd, now: number): void {
     switch (end.outcome) {
-      case 'answered': return this._answered(request, attempt)
+      case 'answered': return this._answered(request, attempt, now)
       case 'shed':
       case 'refused': return this._retryOrEnd(request, end.outcome, now)
       case 'lost':
@@ -290,9 +290,9 @@
     }
   }
 
-  private _answered (request: Request, attempt: Attempt): void {
+  private _answered (request: Request, attempt: Attempt, now: number): void {
     this._finish(request, 'answered')
-    for (const open of [...request.open]) this._cancel(open, attempt.startedAt)
+    for (const open of [...request.open]) this._cancel(open, now)
     this._options.outbox.log({ decision: 'answered', request: request.id, service: request.service, server: attempt.server?.place.id })
     this._options.outbox.put({ kind: 'answer', request: request.id, attempt: attempt.id })
   }
--- /dev/null
+++ b/packages/laboratory/src/bin/measure.ts
@@ -0,0 +1,35 @@
+#!/usr/bin/env node
+/** `npm run measure -- decisions|path|capacity`: figures, a summary line, and 1 when a target was missed. */
+import { Argument, Command } from 'commander'
+import { measureDecisions } from '../measure/decisions.js'
+import type { Verdict } from '../measure/verdict.js'
+
+interface Options {
+  json: boolean
+}
+
+const program = new Command('measure')
+  .description('Measures the decisions, the path of a call, or the slopes that capacity is worked out from.')
+  .addArgument(new Argument('<what>', 'what to measure').choices(['decisions']))
+  .option('--json', 'print the rows as JSON', false)
+  .showHelpAfterError()
+  .parse()
+
+const [what] = program.args
+const { json } = program.opts<Options>()
+const startedAt = performance.now()
+const verdict = await measure(what!)
+if (json) process.stdout.write(`${JSON.stringify(verdict.rows)}\n`)
+for (const miss of verdict.missed) process.stdout.write(`MISSED ${miss}\n`)
+const seconds = ((performance.now() - startedAt) / 1000).toFixed(1)
+process.stdout.write(`summary ${what}: ${JSON.stringify(verdict.summary)} missed ${verdict.missed.length} in ${seconds} s\n`)
+process.exit(verdict.missed.length > 0 ? 1 : 0)
+
+async function measure (name: string): Promise<Verdict> {
+  const show = (line: string): void => {
+    if (!json) process.stdout.write(`${line}\n`)
+  }
+  switch (name) {
+    default: return measureDecisions(show)
+  }
+}
--- a/packages/laboratory/src/index.ts
+++ b/packages/laboratory/src/index.ts
@@ -1,2 +1,5 @@
-/** Measurements and replay. */
-export {}
+/** The load model, measurements and replay. */
+export * from './model/virtualTime.js'
+export { chainAmplification } from './measure/chain.js'
+export { POLICIES, runScenario } from './measure/decisions.js'
+export * from './model/scenario.js'
