Judge slow servers by a smoothed logarithm of their latency

Cause: 2% of answers take ten times as long; a mean that is smoothed linearly jumped past three times its peers' after one of them, so well servers were lowered to one request at a time and slots idled at 110%. Change: the logarithm is smoothed.

--- a/packages/core/src/limits/backendServer.ts
+++ b/packages/core/src/limits/backendServer.ts
@@ -51,6 +51,7 @@
 }
 
 const LATENCY_SHARE = 0.2
+const LEAST_LATENCY_MS = 0.01
 const OUTLIER_SAMPLES = 8
 const FAILURES_TO_SUSPECT = 3
 const FAILURES_TO_GONE = 6
@@ -77,7 +78,8 @@
   private _failures = 0
   private _pauseMs = FIRST_PAUSE_MS
   private _pausedUntil = 0
-  private _latencyMs = 0
+  /** Smoothed logarithm of the latency: one answer from a heavy tail barely moves it, a slow server does. */
+  private _logLatency = 0
   private _samples = 0
   private _lifeSignAt: number
   private _epoch: string | undefined
@@ -114,9 +116,9 @@
     return this._started.size
   }
 
-  /** Smoothed time to an answer in milliseconds, 0 before the first. */
+  /** Typical time to an answer in milliseconds, 0 before the first. */
   get latencyMs (): number {
-    return this._latencyMs
+    return this._samples === 0 ? 0 : Math.exp(this._logLatency)
   }
 
   get samples (): number {
@@ -275,7 +277,8 @@
     if ((end.status ?? 200) >= 500) return this._failed(now)
     this._failures = 0
     this._pauseMs = FIRST_PAUSE_MS
-    this._latencyMs = this._samples === 0 ? end.latencyMs : this._latencyMs + LATENCY_SHARE * (end.latencyMs - this._latencyMs)
+    const logLatency = Math.log(Math.max(LEAST_LATENCY_MS, end.latencyMs))
+    this._logLatency = this._samples === 0 ? logLatency : this._logLatency + LATENCY_SHARE * (logLatency - this._logLatency)
     this._samples += 1
     if (this._state === 'draining' || this._state === 'gone') return
     this._credits += 1
