Measure the path of a call beside a bare pass-through

Cause: no figure for what an entry adds. Change: processes started by a script, alternating loads through backend, pass-through and entry.

--- a/packages/core/src/limits/backendServer.ts
+++ b/packages/core/src/limits/backendServer.ts
@@ -29,6 +29,8 @@
   latencyMs: number
   /** HTTP status of a whole answer. */
   status?: number
+  /** Whether the server blames a call of its own for a failure that was retried below already. */
+  fromBelow?: boolean
   report?: LoadReport
 }
 
@@ -274,7 +276,7 @@
 
   private _answered (end: AttemptEnd, now: number): void {
     this._lifeSignAt = now
-    if ((end.status ?? 200) >= 500) return this._failed(now)
+    if ((end.status ?? 200) >= 500) return end.fromBelow ? undefined : this._failed(now)
     this._failures = 0
     this._pauseMs = FIRST_PAUSE_MS
     const logLatency = Math.log(Math.max(LEAST_LATENCY_MS, end.latencyMs))
--- a/packages/entry/src/backend/backendClient.ts
+++ b/packages/entry/src/backend/backendClient.ts
@@ -40,12 +40,13 @@
   dispatch (effect: DispatchEffect, exchange: Exchange, retrySpent: boolean, listener: AttemptListener): void {
     const startedAt = this._options.now()
     let report: LoadReport | undefined
+    let fromBelow = false
     let ended = false
     const end = (outcome: AttemptOutcome, status?: number): void => {
       if (ended) return
       ended = true
       this._calls.delete(effect.attempt)
-      listener.ended({ outcome, latencyMs: this._options.now() - startedAt, status, report })
+      listener.ended({ outcome, latencyMs: this._options.now() - startedAt, status, fromBelow, report })
     }
     const call = request({
       host: effect.server.host,
@@ -60,6 +61,7 @@
     const connection = watchConnection(call, this._options.connectMs)
     call.on('response', (message) => {
       report = parseLoad(single(message.headers, this._options.names.load))
+      fromBelow = single(message.headers, this._options.names.retry) === 'spent'
       if (this._isShed(message)) return drop(message, call, () => end('shed'))
       this._read(message, call, listener, end)
     })
--- a/packages/entry/src/runtime/exchange.ts
+++ b/packages/entry/src/runtime/exchange.ts
@@ -79,6 +79,7 @@
       'content-type', 'application/json', 'content-length', String(Buffer.byteLength(body)),
       names.outcome, effect.outcome, names.reason, effect.reason
     ]
+    if (effect.outcome === 'unknown') headers.push(names.retry, 'spent')
     if (effect.retryAfterMs !== undefined) headers.push('retry-after', String(Math.ceil(effect.retryAfterMs / 1000)))
     if (this._options.isClosing()) headers.push('connection', 'close')
     response.writeHead(statusOf(effect), headers)
--- a/packages/laboratory/src/bin/measure.ts
+++ b/packages/laboratory/src/bin/measure.ts
@@ -2,21 +2,28 @@
 /** `npm run measure -- decisions|path|capacity`: figures, a summary line, and 1 when a target was missed. */
 import { Argument, Command } from 'commander'
 import { measureDecisions } from '../measure/decisions.js'
+import { measurePath, type PathOptions } from '../measure/path.js'
 import type { Verdict } from '../measure/verdict.js'
 
-interface Options {
+interface Options extends PathOptions {
   json: boolean
 }
 
 const program = new Command('measure')
   .description('Measures the decisions, the path of a call, or the slopes that capacity is worked out from.')
-  .addArgument(new Argument('<what>', 'what to measure').choices(['decisions']))
+  .addArgument(new Argument('<what>', 'what to measure').choices(['decisions', 'path']))
+  .option('--backend <url>', 'path: the backend server itself')
+  .option('--bare <url>', 'path: the bare pass-through')
+  .option('--bare-pid <pid>', 'path: its process', Number)
+  .option('--entry <url>', 'path: the entry')
+  .option('--entry-pid <pid>', 'path: its process', Number)
   .option('--json', 'print the rows as JSON', false)
   .showHelpAfterError()
   .parse()
 
 const [what] = program.args
-const { json } = program.opts<Options>()
+const options = program.opts<Options>()
+const { json } = options
 const startedAt = performance.now()
 const verdict = await measure(what!)
 if (json) process.stdout.write(`${JSON.stringify(verdict.rows)}\n`)
@@ -30,6 +37,7 @@
     if (!json) process.stdout.write(`${line}\n`)
   }
   switch (name) {
+    case 'path': return await measurePath(options, show)
     default: return measureDecisions(show)
   }
 }
--- /dev/null
+++ b/packages/laboratory/src/measure/path.ts
@@ -0,0 +1,87 @@
+/** What the whole path adds to a call, beside a bare pass-through in the same run. */
+import { HttpClient } from '@gooseberryspan/platform'
+import { OpenLoop, pause, type OpenLoopResult } from '../load/openLoop.js'
+import { processUse } from '../load/processUse.js'
+import type { Verdict } from './verdict.js'
+
+/** The processes that `utils/measure.sh` started. */
+export interface PathOptions {
+  backend: string
+  bare: string
+  barePid: number
+  entry: string
+  entryPid: number
+}
+
+/** One way to the backend server, under one load. */
+interface Passage extends OpenLoopResult {
+  way: string
+  callsPerSecond: number
+  cpuMsPerCall: number
+}
+
+const PATH = '/echo'
+const RATES = [1000, 2000, 3000]
+const SECONDS = 6
+const ROUNDS = 3
+const TARGET = { cpuRatio: 1.6, addedP99Ms: 1.5 } as const
+const JUDGED_RATE = 1000
+
+/** Alternates the ways, so that what else the machine does falls on both. */
+export async function measurePath (options: PathOptions, show: (line: string) => void): Promise<Verdict> {
+  const rows: Passage[] = []
+  await warmUp(options)
+  const control = await controlCost(options.entry)
+  for (const callsPerSecond of RATES) {
+    for (let round = 0; round < ROUNDS; round++) {
+      rows.push(await passage('direct', options.backend, undefined, callsPerSecond))
+      rows.push(await passage('bare', options.bare, options.barePid, callsPerSecond))
+      rows.push(await passage('entry', options.entry, options.entryPid, callsPerSecond))
+      for (const row of rows.slice(-3)) show(lineOf(row))
+    }
+  }
+  const median = (way: string, pick: (row: Passage) => number): number => {
+    const values = rows.filter((row) => row.way === way && row.callsPerSecond === JUDGED_RATE).map(pick).sort((a, b) => a - b)
+    return values[values.length >> 1]!
+  }
+  const cpuRatio = median('entry', (row) => row.cpuMsPerCall) / median('bare', (row) => row.cpuMsPerCall)
+  const addedP50Ms = median('entry', (row) => row.p50Ms) - median('direct', (row) => row.p50Ms)
+  const addedP99Ms = median('entry', (row) => row.p99Ms) - median('direct', (row) => row.p99Ms)
+  const missed: string[] = []
+  if (cpuRatio > TARGET.cpuRatio) missed.push(`processor time a call is ${cpuRatio.toFixed(2)} times the pass-through's, not ${TARGET.cpuRatio}`)
+  if (addedP99Ms > TARGET.addedP99Ms) missed.push(`added p99 is ${addedP99Ms.toFixed(2)} ms, not ${TARGET.addedP99Ms}`)
+  if (rows.some((row) => row.failed > 0)) missed.push('some calls failed')
+  return { rows, missed, summary: { cpuRatio: round(cpuRatio), addedP50Ms: round(addedP50Ms), addedP99Ms: round(addedP99Ms), ...control } }
+}
+
+/** Bytes and requests for control, counted at the platform while no calls are made. */
+async function controlCost (entry: string): Promise<object> {
+  const client = new HttpClient({ url: process.env.PLATFORM_URL ?? entry, timeoutMs: 1000, requestsPerSecond: 10 })
+  const load = async (): Promise<Record<string, number>> => JSON.parse((await client.send('GET', '/control/load')).text)
+  const before = await load()
+  await pause(SECONDS * 1000)
+  const after = await load()
+  client.close()
+  const per = (name: string): number => round((after[name]! - before[name]!) / SECONDS)
+  return { platformRequestsPerSecond: per('requests'), platformBytesPerSecond: round(per('bytesIn') + per('bytesOut')) }
+}
+
+async function passage (way: string, url: string, pid: number | undefined, callsPerSecond: number): Promise<Passage> {
+  const before = pid === undefined ? 0 : processUse(pid).cpuMs
+  const result = await new OpenLoop({ url, path: PATH, callsPerSecond, seconds: SECONDS }).run()
+  const after = pid === undefined ? 0 : processUse(pid).cpuMs
+  return { way, callsPerSecond, cpuMsPerCall: (after - before) / result.calls, ...result }
+}
+
+async function warmUp ({ bare, entry }: PathOptions): Promise<void> {
+  for (const url of [bare, entry]) await new OpenLoop({ url, path: PATH, callsPerSecond: 1500, seconds: 3 }).run()
+}
+
+function lineOf (row: Passage): string {
+  const times = [row.p50Ms, row.p99Ms, row.p999Ms].map((ms) => ms.toFixed(2).padStart(8)).join('')
+  return `${row.way.padEnd(8)}${String(row.callsPerSecond).padStart(6)}/s${times} ms  ${row.cpuMsPerCall.toFixed(4)} ms of processor a call, ${row.failed} failed`
+}
+
+function round (value: number): number {
+  return Math.round(value * 1000) / 1000
+}
