Write out a request's fields on the hot path

Cause: the processor profile showed 7% of all time in the router's arrive, in an object spread of twelve and more fields.

--- a/packages/core/src/routing/request.ts
+++ b/packages/core/src/routing/request.ts
@@ -64,3 +64,32 @@
   /** Order in the queue; lower goes first. */
   rank: number
 }
+
+/** A request as it arrives. Every field is written out, which is far cheaper than a spread on the hot path. */
+export function newRequest (spec: RequestSpec, now: number): Request {
+  return {
+    id: spec.id,
+    service: spec.service,
+    kind: spec.kind,
+    idempotent: spec.idempotent,
+    replayable: spec.replayable,
+    weight: spec.weight,
+    deadlineAt: spec.deadlineAt,
+    depth: spec.depth,
+    retrySpent: spec.retrySpent,
+    caller: spec.caller,
+    idempotencyKey: spec.idempotencyKey,
+    hops: spec.hops,
+    hedgeAfterMs: spec.hedgeAfterMs,
+    claims: spec.claims,
+    state: 'queued',
+    arrivedAt: now,
+    dispatches: 0,
+    tried: [],
+    open: [],
+    sentTo: [],
+    ambiguous: false,
+    hedged: false,
+    rank: 0
+  }
+}
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -7,7 +7,7 @@
 import type { ClaimResult, Claims } from '../retries/claims.js'
 import type { Directory } from './directory.js'
 import { PeerChoice } from './peerChoice.js'
-import type { Reason, Request, RequestSpec } from './request.js'
+import { newRequest, type Reason, type Request, type RequestSpec } from './request.js'
 import type { ServiceHolder } from './serviceHolder.js'
 
 /** What a peer's answer to a request that was sent on says. */
@@ -82,9 +82,7 @@
   }
 
   arrive (spec: RequestSpec, now: number): void {
-    const request: Request = {
-      ...spec, state: 'queued', arrivedAt: now, dispatches: 0, tried: [], open: [], sentTo: [], ambiguous: false, hedged: false, rank: 0
-    }
+    const request = newRequest(spec, now)
     this._requests.set(request.id, request)
     const refusal = this._refusalAtOnce(request, now)
     if (refusal) return this._refuse(request, refusal)
@@ -274,7 +272,8 @@
 
   private _close (attempt: Attempt): void {
     this._attempts.delete(attempt.id)
-    attempt.request.open = attempt.request.open.filter((id) => id !== attempt.id)
+    const { open } = attempt.request
+    open.splice(open.indexOf(attempt.id), 1)
   }
 
   private _settle (request: Request, attempt: Attempt, end: AttemptEnd, now: number): void {
