Never promise while an own eviction may still take effect

Ruled out: the lease's count and the release protocol (both entries kept to theirs). Change: an eviction is remembered until its row or the view is seen to have moved; until then no promise is given.

--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -144,7 +144,7 @@
   answerPromise (from: Member, request: PromiseRequest, revision: number, now: number): PromiseAnswer {
     const known = memberOf(this._view, from.instance)
     const granted = request.view === this._view.version && known?.incarnation === request.incarnation &&
-      this.self !== undefined && this.lease.isValid(now)
+      this.self !== undefined && this.lease.isValid(now) && this._watch.mayPromise(from.instance)
     if (granted) this._watch.promise(from.instance, now + this._options.times.termMs)
     return {
       kind: 'promise',
@@ -286,6 +286,7 @@
     this._view = view
     this._options.outbox.log({ decision: 'view-adopted', view: view.version, figure: view.members.length })
     this._watched = this._watchedIn(view)
+    this._watch.viewMoved()
     this._watch.keep(new Set(this._watched.map((member) => member.instance)))
     if (view.members.some((member) => member.state === 'joining')) this.hurry(now)
     if (this._phase === 'joined' && !this.self) this._lost(now)
@@ -377,6 +378,7 @@
         this._askAfter(self, member, now)
         continue
       }
+      this._watch.evictionSent(member.instance, version)
       this._options.outbox.log({ decision: 'evicted-peer', instance: member.instance, view: this._view.version })
       this._changeView([{ table: 'members', key: member.instance }, { table: 'leases', key: member.instance }],
         () => {}, [{ table: 'leases', key: member.instance, version }])
--- a/packages/core/src/membership/watch.ts
+++ b/packages/core/src/membership/watch.ts
@@ -11,6 +11,8 @@
 /** Decides when a watched entry may be evicted: never before its own count has ended. */
 export class Watch {
   private readonly _sightings = new Map<string, Sighting>()
+  /** Lease versions at which an eviction was sent that may yet take effect. */
+  private readonly _evicting = new Map<string, number>()
   private readonly _promisedUntil = new Map<string, number>()
   private readonly _times: LeaseTimes
 
@@ -22,6 +24,7 @@
   saw (instance: string, version: number, now: number): void {
     const sighting = this._sightings.get(instance)
     if (sighting && sighting.version === version) return
+    if (this._evicting.get(instance) !== version) this._evicting.delete(instance)
     this._sightings.set(instance, { version, since: now })
   }
 
@@ -32,6 +35,21 @@
     }
   }
 
+  /** Notes that an eviction is sent. Until the row or the view is seen to have moved, it may still take effect. */
+  evictionSent (instance: string, version: number): void {
+    this._evicting.set(instance, version)
+  }
+
+  /** The view has moved: evictions sent under the last one can no longer take effect. */
+  viewMoved (): void {
+    this._evicting.clear()
+  }
+
+  /** Whether this entry's word not to evict would be true. */
+  mayPromise (instance: string): boolean {
+    return !this._evicting.has(instance)
+  }
+
   /** Promises not to evict for a time. */
   promise (instance: string, untilMs: number): void {
     this._promisedUntil.set(instance, Math.max(this._promisedUntil.get(instance) ?? 0, untilMs))
--- a/packages/entry/src/operators/operatorListener.ts
+++ b/packages/entry/src/operators/operatorListener.ts
@@ -2,7 +2,7 @@
 import { timingSafeEqual } from 'node:crypto'
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
 import { parseDocument, RefusedDocument, type AcceptedDocument, type Document, type Fault } from '@gooseberryspan/core'
-import type { ConfigurationStore } from '@gooseberryspan/platform'
+import type { ConfigurationStore, MemberStore } from '@gooseberryspan/platform'
 import { json } from '../caller/callerListener.js'
 import { BadRequest } from '../errors.js'
 import { readBody } from '../runtime/body.js'
@@ -11,6 +11,7 @@
 export interface OperatorOptions {
   token: string
   store: ConfigurationStore
+  members: MemberStore
   status: () => unknown
   newId: () => string
   accepted: (accepted: AcceptedDocument) => void
@@ -39,11 +40,19 @@
     case 'POST /v1/configuration/validate':
       await readDocument(request)
       return json(response, 200, { outcome: 'valid' })
+    case 'POST /v1/evictions': return evict(request, response, options)
     case 'POST /v1/configuration': return change(request, response, options)
     default: return json(response, 404, { error: `no ${route}` })
   }
 }
 
+async function evict (request: IncomingMessage, response: ServerResponse, options: OperatorOptions): Promise<void> {
+  const instance = new URL(request.url ?? '/', 'http://entry').searchParams.get('instance')
+  if (!instance) throw new BadRequest(400, 'instance', 'name the instance: ?instance=NAME')
+  const outcome = await options.members.evict(instance)
+  json(response, outcome === 'evicted' ? 200 : 409, { outcome, instance })
+}
+
 async function change (request: IncomingMessage, response: ServerResponse, options: OperatorOptions): Promise<void> {
   const expected = expectedRevision(request)
   const changeId = request.headers['change-id']
--- a/packages/entry/src/peers/peerClient.ts
+++ b/packages/entry/src/peers/peerClient.ts
@@ -15,7 +15,9 @@
 
 /** One tRPC client a peer address. */
 export class PeerClient {
-  sent = 0
+  messages = 0
+  /** Bytes of the messages themselves. */
+  bytes = 0
   private readonly _clients = new Map<string, TRPCClient<PeerRouter>>()
   private readonly _options: PeerOptions
 
@@ -25,7 +27,8 @@
 
   /** Sends a message once; a lost one is sent anew by whoever still needs it. */
   send (to: Member, message: PeerMessage): void {
-    this.sent += 1
+    this.messages += 1
+    this.bytes += JSON.stringify(message).length
     const delivery = { from: this._options.instance, incarnation: this._options.incarnation(), message: message as never }
     const signal = AbortSignal.timeout(this._options.timeoutMs)
     this._client(to).deliver.mutate(delivery, { signal }).catch((error: Error) => {
--- a/packages/entry/src/runtime/entryNode.ts
+++ b/packages/entry/src/runtime/entryNode.ts
@@ -10,7 +10,7 @@
 import type { Answer } from './answer.js'
 import type { Exchange } from './exchange.js'
 import type { Counters } from './counters.js'
-import { statusOf, type Status } from './status.js'
+import { statusOf, type ControlUse, type Status } from './status.js'
 
 /** Work for the platform, done by a process of its own. */
 export interface PlatformWork {
@@ -41,6 +41,7 @@
   forwards: ForwardClient
   peers: PeerClient
   platform: PlatformWork
+  control: () => ControlUse
   left: () => void
 }
 
@@ -82,7 +83,7 @@
   }
 
   status (): Status {
-    return statusOf(this.core, this._options.now(), this._options.counters)
+    return statusOf(this.core, this._options.now(), this._options.counters, this._sides.control())
   }
 
   resolveContext (): ResolveContext {
--- a/packages/entry/src/runtime/status.ts
+++ b/packages/entry/src/runtime/status.ts
@@ -19,6 +19,16 @@
   latencyMs: number
 }
 
+/** What control has used since start. */
+export interface ControlUse {
+  platformRequests: number
+  /** Bytes to and from the platform, headers included. */
+  platformBytes: number
+  peerMessages: number
+  /** Bytes of messages to peers, headers not included. */
+  peerBytes: number
+}
+
 /** The state of an entry at one moment. */
 export interface Status {
   instance: string
@@ -38,11 +48,12 @@
   /** Broken invariants; empty in a sound process. */
   broken: Count[]
   counts: Count[]
+  control: ControlUse
   residentBytes: number
 }
 
 /** Reads the state of an entry. */
-export function statusOf (core: EntryCore, now: number, counters: Counters): Status {
+export function statusOf (core: EntryCore, now: number, counters: Counters, control: ControlUse): Status {
   const { membership } = core
   return {
     instance: membership.identity.instance,
@@ -58,6 +69,7 @@
     servers: serversOf(core),
     broken: [...core.invariants.counts].map(([name, count]) => ({ name, count })),
     counts: [...counters.entries()].map(([name, count]) => ({ name, count })),
+    control,
     residentBytes: process.memoryUsage.rss()
   }
 }
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -4,7 +4,7 @@
 import type { Logger } from 'pino'
 import { EntryCore, SeededRandom, type AcceptedDocument, type EntryOptions, type Invariant } from '@gooseberryspan/core'
 import { RESTART_POLICY, Supervisor, type Child, type SupervisorWatcher } from '@gooseberryspan/csp'
-import { ConfigurationStore, HttpPlatform } from '@gooseberryspan/platform'
+import { ConfigurationStore, HttpPlatform, MemberStore, type TableService } from '@gooseberryspan/platform'
 import { BackendClient } from './backend/backendClient.js'
 import { CallerListener } from './caller/callerListener.js'
 import { HeaderNames } from './headers.js'
@@ -119,6 +119,12 @@
       claim: (request, service, key) => ledger.claim(request, service, key),
       settleClaim: (request, service, key, outcome) => ledger.settle(request, service, key, outcome)
     },
+    control: () => ({
+      platformRequests: platform.client.requests,
+      platformBytes: platform.client.bytes,
+      peerMessages: peers.messages,
+      peerBytes: peers.bytes
+    }),
     left
   })
 
@@ -131,7 +137,7 @@
     new ListWatcher(platform.instances, settings.platform.listMs, (change) => node.handle({ kind: 'listed', change }))
   ])
   const children: Child[] = [platformBranch, branch('decisions', [ticker(node)])]
-  const operatorPort = operatorPortOf(options, node, new ConfigurationStore(platform.tables), newId)
+  const operatorPort = operatorPortOf(options, node, platform.tables, newId)
   if (operatorPort) {
     const listening = (at: number): void => log.info({ port: at }, 'operators\' interface listens')
     children.push(branch('operators', [portKeeper('operator-port', operatorPort, listening)]))
@@ -200,12 +206,14 @@
 }
 
 function operatorPortOf (
-  options: EntryProcessOptions, node: EntryNode, store: ConfigurationStore, newId: () => string
+  options: EntryProcessOptions, node: EntryNode, tables: TableService, newId: () => string
 ): HttpListener | undefined {
   const { token, port } = options.settings.operators
   if (token === undefined) return undefined
   const accepted = (document: AcceptedDocument): void => node.handle({ kind: 'accepted', accepted: document })
-  const listener = operatorListener({ token, store, status: () => node.status(), newId, accepted })
+  const listener = operatorListener({
+    token, store: new ConfigurationStore(tables), members: new MemberStore(tables), status: () => node.status(), newId, accepted
+  })
   return new HttpListener(listener, { host: options.settings.host, port })
 }
 
--- a/packages/laboratory/src/bin/measure.ts
+++ b/packages/laboratory/src/bin/measure.ts
@@ -1,22 +1,25 @@
 #!/usr/bin/env node
 /** `npm run measure -- decisions|path|capacity`: figures, a summary line, and 1 when a target was missed. */
 import { Argument, Command } from 'commander'
+import { measureCapacity } from '../measure/capacity.js'
 import { measureDecisions } from '../measure/decisions.js'
 import { measurePath, type PathOptions } from '../measure/path.js'
 import type { Verdict } from '../measure/verdict.js'
 
 interface Options extends PathOptions {
   json: boolean
+  points: string
 }
 
 const program = new Command('measure')
   .description('Measures the decisions, the path of a call, or the slopes that capacity is worked out from.')
-  .addArgument(new Argument('<what>', 'what to measure').choices(['decisions', 'path']))
+  .addArgument(new Argument('<what>', 'what to measure').choices(['decisions', 'path', 'capacity']))
   .option('--backend <url>', 'path: the backend server itself')
   .option('--bare <url>', 'path: the bare pass-through')
   .option('--bare-pid <pid>', 'path: its process', Number)
   .option('--entry <url>', 'path: the entry')
   .option('--entry-pid <pid>', 'path: its process', Number)
+  .option('--points <file>', 'capacity: measured points', 'docs/measurements/capacity.jsonl')
   .option('--json', 'print the rows as JSON', false)
   .showHelpAfterError()
   .parse()
@@ -38,6 +41,7 @@
   }
   switch (name) {
     case 'path': return await measurePath(options, show)
+    case 'capacity': return measureCapacity(options.points, show)
     default: return measureDecisions(show)
   }
 }
--- a/packages/operator/src/program.ts
+++ b/packages/operator/src/program.ts
@@ -55,6 +55,9 @@
     .action(async (state: string, name: string) => done(await zone(client(connection()), name, zoneState(state), output())))
   program.command('status').description('show an entry\'s state')
     .action(async () => done(await status(client(connection()), output())))
+  program.command('evict <instance>').description('remove an instance that is lost for good, without waiting for its lease')
+    .requiredOption('--process-has-ended', 'your word for it: a living process would go on dispatching')
+    .action(async (instance: string) => done(await evict(client(connection()), instance, output())))
   program.command('explain <request>').description('tell why a request went where it went')
     .requiredOption('--log <file>', 'decision log of the entry that took the request')
     .action(async (request: string, { log }: { log: string }) => done(await explain(log, wholeNumber(request), output())))
@@ -67,6 +70,13 @@
   return EXIT.done
 }
 
+async function evict (operator: OperatorClient, instance: string, output: Output): Promise<number> {
+  const answer = await operator.evict(instance)
+  output.show(answer, [answer.error ?? `${instance}: ${answer.outcome}`])
+  if (answer.outcome === 'evicted') return EXIT.done
+  return answer.outcome === 'unavailable' ? EXIT.unavailable : EXIT.refused
+}
+
 function client ({ entry, tokenFile, timeoutMs }: Connection): OperatorClient {
   const token = tokenFile === undefined ? process.env.GOOSEBERRYSPAN_TOKEN : readToken(tokenFile)
   if (!token) throw new FailedCommand(EXIT.usage, 'give a token: --token-file, or the variable GOOSEBERRYSPAN_TOKEN')
--- a/packages/platform/src/httpClient.ts
+++ b/packages/platform/src/httpClient.ts
@@ -1,5 +1,6 @@
 /** Small JSON requests over Node's http, with a time-out and a budget. */
 import { Agent, request, type IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
 import { TokenBucket } from '@gooseberryspan/core'
 import { PlatformBudgetSpent, PlatformUnavailable } from './errors.js'
 
@@ -23,9 +24,10 @@
 
 /** One connection pool to the platform. */
 export class HttpClient {
-  bytesSent = 0
-  bytesReceived = 0
+  /** Bytes on the wire both ways, headers included. */
+  bytes = 0
   requests = 0
+  private readonly _counted = new WeakMap<Socket, number>()
   private readonly _agent = new Agent({ keepAlive: true, maxSockets: 8, timeout: IDLE_MS })
   private readonly _bucket: TokenBucket
   private readonly _options: HttpClientOptions
@@ -48,7 +50,7 @@
       const call = request(new URL(path, this._options.url), { method, agent: this._agent, headers }, (answer) => {
         collect(answer, fail, (text) => {
           clearTimeout(timer)
-          this.bytesReceived += text.length
+          this._count(answer.socket)
           resolve({ status: answer.statusCode ?? 0, text })
         })
       })
@@ -57,11 +59,16 @@
         clearTimeout(timer)
         fail(error)
       })
-      this.bytesSent += body?.length ?? 0
       call.end(body)
     })
   }
 
+  private _count (socket: Socket): void {
+    const total = socket.bytesRead + socket.bytesWritten
+    this.bytes += total - (this._counted.get(socket) ?? 0)
+    this._counted.set(socket, total)
+  }
+
   close (): void {
     this._agent.destroy()
   }
--- a/tests/random.spec.ts
+++ b/tests/random.spec.ts
@@ -20,6 +20,17 @@
       { afterMs: 254, fault: 'lossy-messages', pick: 0, lastsMs: 50 }
     ]
   },
+  {
+    title: 'an eviction that takes effect after its sender has promised not to evict',
+    world: 7,
+    story: [
+      { afterMs: 2238, fault: 'table-down', pick: 703, lastsMs: 9488 },
+      { afterMs: 36, fault: 'server-slow', pick: 975, lastsMs: 12578 },
+      { afterMs: 5098, fault: 'server-returns', pick: 676, lastsMs: 5926 },
+      { afterMs: 118, fault: 'zone-cut', pick: 536, lastsMs: 11126 },
+      { afterMs: 3089, fault: 'late-effects', pick: 417, lastsMs: 13052 }
+    ]
+  },
   {
     title: 'a zone taken out just before the table service goes down',
     world: 18,
--- a/utils/measure.sh
+++ b/utils/measure.sh
@@ -30,6 +30,38 @@
   exit 1
 }
 
+capacity_point () { # entries, servers, services
+  local zones=(r1-a r1-b r1-c r2-a r2-b r3-a r3-b) entry_pids=() ports=() zone index
+  rm -f "$work"/*.out
+  start platform node packages/standins/dist/bin/platform.js --port 7300 --lag-ms 0
+  start backend node packages/standins/dist/bin/backend.js --service any --zone any
+  await_line "$work/platform.out"
+  await_line "$work/backend.out"
+  local backend_port
+  backend_port="$(node -p 'JSON.parse(require("fs").readFileSync(process.argv[1], "utf8"))[0].port' "$work/backend.out")"
+  node "$lab/prepareCapacity.js" --platform http://127.0.0.1:7300 --backend "$backend_port" --servers "$2" --services "$3"
+  for ((index = 0; index < $1; index++)); do
+    zone="${zones[$((index % 7))]}"
+    cat >"$work/entry-$index.yaml" <<YAML
+instance: entry-$index
+zone: $zone
+region: ${zone%-*}
+callers: { port: $((7400 + 2 * index)) }
+peers: { port: $((7401 + 2 * index)) }
+platform: { url: "http://127.0.0.1:7300" }
+log: { decisions: true }
+YAML
+    start "entry-$index" node packages/entry/dist/bin/entry.js --settings "$work/entry-$index.yaml"
+    entry_pids+=("${pids[-1]}")
+    ports+=("$((7400 + 2 * index))")
+  done
+  node "$lab/capacityPoint.js" --platform http://127.0.0.1:7300 --servers "$2" --services "$3" --seconds "${SECONDS_EACH:-12}" \
+    --pids "$(IFS=,; echo "${entry_pids[*]}")" --ports "$(IFS=,; echo "${ports[*]}")"
+  kill -KILL "${pids[@]}" 2>/dev/null || true
+  wait 2>/dev/null || true
+  pids=()
+}
+
 case "$what" in
   path)
     start platform node packages/standins/dist/bin/platform.js --port 7000 --lag-ms 0
@@ -55,7 +87,17 @@
       --bare http://127.0.0.1:7100 --bare-pid "$bare_pid" --entry http://127.0.0.1:7200 --entry-pid "$entry_pid" "${@:2}"
     ;;
   capacity)
-    node "$lab/measure.js" capacity "${@:2}"
+    points="${POINTS:-docs/measurements/capacity.jsonl}"
+    if [ "${2:-}" != "--fit" ]; then
+      : >"$points"
+      for size in 4:880:99 15:880:99 30:880:99 60:880:99 15:110:99 15:220:99 15:440:99 15:880:4 15:880:25 15:880:50; do
+        IFS=: read -r entries servers services <<<"$size"
+        echo "measuring $entries entries, $servers backend servers, $services services" >&2
+        capacity_point "$entries" "$servers" "$services" >>"$points"
+        tail -n 1 "$points" >&2
+      done
+    fi
+    node "$lab/measure.js" capacity --points "$points"
     ;;
   *)
     node "$lab/measure.js" "$@"
