--- a/packages/platform/src/httpClient.ts
+++ b/packages/platform/src/httpClient.ts
@@ -48,9 +48,10 @@
       const fail = (error: Error): void => reject(new PlatformUnavailable(error, '%s %s', method, path))
       const headers = body === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }
       const call = request(new URL(path, this._options.url), { method, agent: this._agent, headers }, (answer) => {
+        const { socket } = answer
         collect(answer, fail, (text) => {
           clearTimeout(timer)
-          this._count(answer.socket)
+          this._count(socket)
           resolve({ status: answer.statusCode ?? 0, text })
         })
       })
--- a/utils/mutations.mjs
+++ b/utils/mutations.mjs
@@ -9,14 +9,17 @@
 const CORE = new URL('../packages/core/dist/', import.meta.url)
 const SOAK = new URL('../tests/dist/soak.js', import.meta.url).pathname
 const SEEDS = [1, 2, 3, 4, 5, 6]
-const RUNS = 150
+const RUNS = 250
 
 const SILENCE = { file: 'invariants.js', find: 'if (holds)', replace: 'if (holds || true)' }
 
+const only = process.argv[2]
 const MUTATIONS = [
   ['slot-limit', 'limits/backendServer.js', 'return Math.max(0, this._limit - this.occupied(now));', 'return Math.max(0, this._limit + 1 - this.occupied(now));'],
-  ['slot-limit', 'limits/backendServer.js', 'this._assumed.push(now + SETTLE_MS);', ''],
-  ['cold-limit', 'limits/backendServer.js', 'this._limit = Math.max(1, report.capacity);', ''],
+  ['slot-limit', 'limits/backendServer.js', 'const SETTLE_MS = 10;', 'const SETTLE_MS = 0;'],
+  ['cold-limit', 'limits/backendServer.js', 'this._limit = Math.max(1, report.capacity);', '', [
+    ['limits/backendServer.js', 'report.epoch !== this._epoch)', 'false)'], ['limits/backendServer.js', 'this._turnCold(now);\n        this._pause', 'this._pause']
+  ]],
   ['one-holder', 'membership/lease.js', 'return now < this._validUntil;', 'return true;'],
   ['one-holder', 'membership/watch.js', 'if (now - sighting.since < waitMs + this._times.marginMs)', 'if (now - sighting.since < 200)'],
   ['one-holder', 'membership/ownership.js', 'if (!hasIncarnation(membership.view, owner.instance, owner.incarnation))', 'if (owner)'],
@@ -30,8 +33,10 @@
   ['not-run-truth', 'routing/router.js', "request.ambiguous || request.open.length > 0 ? 'unknown' : 'not-run'", "'not-run'"],
   ['at-most-once', 'routing/router.js', 'return request.idempotent && !request.retrySpent;', 'return true;'],
   ['at-most-once', 'retries/claims.js', "if (result === 'duplicate')\n            return false;", ''],
-  ['one-answer', 'routing/router.js', 'if (this._requests.has(request.id))\n            this._settle', 'this._settle'],
-  ['no-revert', 'configuration/revisions.js', 'if (accepted.revision <= this.revision)', 'if (false)'],
+  ['one-answer', 'routing/router.js', 'if (this._requests.has(request.id))\n            this._settle', 'this._settle', [
+    ['routing/router.js', "this._finish(request, 'answered');\n        for (const open of [...request.open])\n            this._cancel(open, now);", "this._finish(request, 'answered');"]
+  ]],
+  ['no-revert', 'configuration/revisions.js', 'if (!this._current || change.revision !== this.revision + 1)', 'if (!this._current)'],
   ['in-force-everywhere', 'configuration/spread.js', 'if (revision > this._options.revisions.revision && !this._reading)', 'if (false)', [
     ['configuration/spread.js', 'const behind = has.revision > revisions.revision ||', 'const behind =']
   ]],
@@ -40,6 +45,7 @@
 
 let missed = 0
 for (const [invariant, file, find, replace, more = []] of MUTATIONS) {
+  if (only !== undefined && !`${invariant} ${find}`.includes(only)) continue
   const edits = [SILENCE, { file, find, replace }, ...more.map(([name, from, to]) => ({ file: name, find: from, replace: to }))]
   const found = await tryMutation(invariant, edits)
   if (!found) missed += 1
