--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -190,6 +190,11 @@
     return this._gone.has(`${member.instance}#${member.incarnation}`)
   }
 
+  private _extend (sentAt: number): void {
+    this.lease.renewed(sentAt)
+    this._wasValid = true
+  }
+
   private _noteLapse (now: number): void {
     const valid = this.lease.isValid(now)
     if (this._wasValid && !valid) {
@@ -260,7 +265,7 @@
     const row = rowOf(result, 'leases', this._options.identity.instance)
     if ((row.value as LeaseRow | undefined)?.incarnation !== this._incarnation) return
     this._leaseVersion = row.version
-    if (result.committed) this.lease.renewed(sentAt)
+    if (result.committed) this._extend(sentAt)
     else this.hurry(sentAt)
   }
 
@@ -342,7 +347,7 @@
       this._phase = result ? 'joined' : 'outside'
       if (!result) return
       this._leaseVersion = rowOf(result, 'leases', member.instance).version
-      this.lease.renewed(now)
+      this._extend(now)
       this._options.outbox.log({ decision: 'joined', instance: member.instance, view: member.joinedView })
     })
   }
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -40,6 +40,8 @@
   platform: HttpPlatform
   /** Settles when the process has ended; rejects when its supervisor gave up. */
   ended: Promise<void>
+  /** Settles with the operators' port, once it listens. */
+  operatorPort: Promise<number>
   /** Settles with whether all in flight was let finish. */
   stop (): Promise<boolean>
   /** Ends at once, as a crash would. */
@@ -138,8 +140,15 @@
   ])
   const children: Child[] = [platformBranch, branch('decisions', [ticker(node)])]
   const operatorPort = operatorPortOf(options, node, platform.tables, newId)
+  let operatorsListen: (at: number) => void = () => {}
+  const operatorAt = new Promise<number>((resolve) => {
+    operatorsListen = resolve
+  })
   if (operatorPort) {
-    const listening = (at: number): void => log.info({ port: at }, 'operators\' interface listens')
+    const listening = (at: number): void => {
+      log.info({ port: at }, 'operators\' interface listens')
+      operatorsListen(at)
+    }
     children.push(branch('operators', [portKeeper('operator-port', operatorPort, listening)]))
   }
   const statsd = statsdOf(settings, log)
@@ -163,6 +172,7 @@
     node,
     platform,
     ended,
+    operatorPort: operatorAt,
     stop: async () => {
       node.stopping = true
       node.handle({ kind: 'stop' })
--- a/packages/laboratory/src/measure/capacity.ts
+++ b/packages/laboratory/src/measure/capacity.ts
@@ -21,8 +21,8 @@
 }
 
 const FIGURES: Figure[] = [
-  'cpuPercent', 'residentMb', 'platformRequestsPerSecond', 'platformBytesPerSecond', 'peerMessagesPerSecond', 'tableReadsPerSecond',
-  'tableWritesPerSecond', 'inForceMs', 'bytesPerChange', 'documentBytes', 'settleMs'
+  'cpuPercent', 'residentMb', 'residentMbMost', 'platformRequestsPerSecond', 'platformBytesPerSecond', 'peerMessagesPerSecond',
+  'tableReadsPerSecond', 'tableWritesPerSecond', 'inForceMs', 'bytesPerChange', 'documentBytes', 'settleMs'
 ]
 
 /** Reads points, prints slopes with their residuals, and compares the largest size with the target. */
@@ -37,11 +37,11 @@
   if (!largest) return { rows: [...slopes, ...costs], missed: ['no point at the target\'s size'], summary: {} }
   const bytes = largest.platformBytesPerSecond + largest.peerBytesPerSecond + largest.bytesPerChange * CHANGES_PER_SECOND
   const summary = {
-    cpuPercent: largest.cpuPercent, residentMb: largest.residentMb, bytesPerSecond: Math.round(bytes), inForceMs: largest.inForceMs
+    cpuPercent: largest.cpuPercent, residentMb: largest.residentMbMost, bytesPerSecond: Math.round(bytes), inForceMs: largest.inForceMs
   }
   const missed: string[] = []
   if (summary.cpuPercent > TARGET.cpuPercent) missed.push(`control takes ${summary.cpuPercent}% of a core, not ${TARGET.cpuPercent}%`)
-  if (summary.residentMb > TARGET.residentMb) missed.push(`an entry has ${summary.residentMb} MB, not ${TARGET.residentMb}`)
+  if (summary.residentMb > TARGET.residentMb) missed.push(`the largest entry has ${summary.residentMb} MB, not ${TARGET.residentMb}`)
   if (bytes > TARGET.bytesPerSecond) missed.push(`control takes ${Math.round(bytes)} bytes a second, not ${TARGET.bytesPerSecond}`)
   if (summary.inForceMs > TARGET.inForceMs) missed.push(`a change takes ${summary.inForceMs} ms, not ${TARGET.inForceMs}`)
   return { rows: [...slopes, ...costs], missed, summary }
--- a/packages/platform/src/configurationStore.ts
+++ b/packages/platform/src/configurationStore.ts
@@ -1,7 +1,7 @@
 /** Accepts an operator's document as a whole, or says why not. */
 import {
   acceptedOf, changeTransaction, configurationRows, readConfiguration, revisionOf,
-  type AcceptedDocument, type Document, type TransactionResult
+  type AcceptedDocument, type Document, type Transaction, type TransactionResult
 } from '@gooseberryspan/core'
 import { PlatformUnavailable } from './errors.js'
 import type { TableService } from './services.js'
@@ -13,6 +13,7 @@
   | { kind: 'unsettled', reason: string }
 
 const SETTLING_READS = 5
+const MOST_TRIES = 10
 
 /** Reads and changes the configuration in the table service. */
 export class ConfigurationStore {
@@ -34,19 +35,26 @@
    * the revision that won. A write without an answer is settled by reading back the change id.
    */
   async change (document: Document, expected: number, changeId: string): Promise<ChangeOutcome> {
-    const rows = configurationRows(await this._one())
-    const before = revisionOf(rows)
-    if (before.changeId === changeId) return { kind: 'accepted', revision: before.revision }
-    if (before.revision !== expected) return { kind: 'conflict', revision: before.revision }
-    let result: TransactionResult | undefined
+    for (let tries = 0; tries < MOST_TRIES; tries++) {
+      const rows = configurationRows(await this._one())
+      const before = revisionOf(rows)
+      if (before.changeId === changeId) return { kind: 'accepted', revision: before.revision }
+      if (before.revision !== expected) return { kind: 'conflict', revision: before.revision }
+      const committed = await this._write(changeTransaction(rows, document, changeId))
+      if (committed === undefined) return this._settle(expected + 1, changeId)
+      if (committed) return { kind: 'accepted', revision: expected + 1 }
+    }
+    return { kind: 'unsettled', reason: 'entries join and leave too often; nothing was changed' }
+  }
+
+  /** Whether the transaction was committed; undefined when there is no answer. Refused may mean only that the view moved. */
+  private async _write (transaction: Transaction): Promise<boolean | undefined> {
     try {
-      result = (await this._tables.transact([changeTransaction(rows, document, changeId)]))[0]
+      return (await this._tables.transact([transaction]))[0]?.committed ?? false
     } catch (error) {
       if (!(error instanceof PlatformUnavailable)) throw error
-      return this._settle(expected + 1, changeId)
+      return undefined
     }
-    if (result?.committed) return { kind: 'accepted', revision: expected + 1 }
-    return this._settle(expected + 1, changeId)
   }
 
   /** Reads until it is known whose change followed; the row of that revision tells. */
--- a/utils/measure.sh
+++ b/utils/measure.sh
@@ -30,6 +30,9 @@
   exit 1
 }
 
+# As the systemd unit runs an entry.
+ENTRY_FLAGS="${ENTRY_FLAGS---max-semi-space-size=2 --max-old-space-size=96}"
+
 capacity_point () { # entries, servers, services
   local zones=(r1-a r1-b r1-c r2-a r2-b r3-a r3-b) entry_pids=() ports=() zone index
   rm -f "$work"/*.out
@@ -51,7 +54,7 @@
 platform: { url: "http://127.0.0.1:7300" }
 log: { decisions: true }
 YAML
-    start "entry-$index" node packages/entry/dist/bin/entry.js --settings "$work/entry-$index.yaml"
+    start "entry-$index" node $ENTRY_FLAGS packages/entry/dist/bin/entry.js --settings "$work/entry-$index.yaml"
     entry_pids+=("${pids[-1]}")
     ports+=("$((7400 + 2 * index))")
   done
@@ -80,7 +83,7 @@
 peers: { port: 7201 }
 platform: { url: "http://127.0.0.1:7000" }
 YAML
-    start entry node packages/entry/dist/bin/entry.js --settings "$work/entry.yaml"
+    start entry node $ENTRY_FLAGS packages/entry/dist/bin/entry.js --settings "$work/entry.yaml"
     entry_pid="${pids[-1]}"
     sleep 3
     PLATFORM_URL=http://127.0.0.1:7000 node "$lab/measure.js" path --backend "http://127.0.0.1:$backend_port" \
