Give watchers' consent a module of its own and log servers' states

Change: asking for, giving and taking promises is Consent; a change of a server's state is one decision; the heap's young part is 8 MB in place of 2.

--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -143,13 +143,11 @@
   | 'evicted-peer'
   | 'lease-lost'
   | 'lease-lapsed'
-  | 'promise-given'
   | 'stopping'
   | 'left'
   | 'server-added'
   | 'server-removed'
-  | 'server-draining'
-  | 'server-outlier'
+  | 'server-state'
 
 /** Everything the core may ask for. */
 export type Effect =
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -9,7 +9,6 @@
 import type { LeaseTimes } from './membership/lease.js'
 import { Ownership } from './membership/ownership.js'
 import { Placement } from './membership/placement.js'
-import type { Member } from './membership/tables.js'
 import { Transactions } from './membership/transactions.js'
 import { EMPTY_VIEW, memberOf } from './membership/view.js'
 import type { Random } from './random.js'
@@ -154,7 +153,7 @@
     if (!from || from.incarnation !== event.incarnation) return this.membership.hurry(now)
     switch (message.kind) {
       case 'promise-request':
-        this._send(from, this.membership.answerPromise(from, message, this.revisions.revision, now))
+        this.membership.answerPromise(from, message, now)
         return this._spread.heard(from, message, now)
       case 'promise':
         this.membership.takePromise(event.from, message)
@@ -169,10 +168,6 @@
     }
   }
 
-  private _send (to: Member, message: ReceivedEvent['message']): void {
-    this._outbox.put({ kind: 'send', to, message })
-  }
-
   private _listener () {
     const core = this
     return {
--- a/packages/core/src/membership/membership.ts
+++ b/packages/core/src/membership/membership.ts
@@ -1,14 +1,14 @@
 /** One entry's part in the membership: joining, renewing, watching, promising and leaving. */
 import type { Outbox } from '../effects.js'
 import type { Random } from '../random.js'
+import { Consent, type Standing } from './consent.js'
 import { Lease, type LeaseTimes } from './lease.js'
 import type { PromiseAnswer, PromiseRequest } from './messages.js'
-import { PromiseRound } from './promiseRound.js'
 import {
   rowOf, type LeaseRow, type Member, type Read, type RevisionRow, type Row, type Transaction, type TransactionResult, type ViewRow
 } from './tables.js'
 import type { Transactions } from './transactions.js'
-import { EMPTY_VIEW, evictors, memberOf, promisorsOf, watchersOf, type View } from './view.js'
+import { EMPTY_VIEW, evictors, memberOf, watchedBy, type View } from './view.js'
 import { Watch } from './watch.js'
 
 /** How far this process has come. */
@@ -59,15 +59,14 @@
   private _stopWanted = false
   private _mayLeave = false
   private readonly _watch: Watch
-  private readonly _round: PromiseRound
-  private readonly _gone = new Set<string>()
+  private readonly _consent: Consent
   private readonly _options: MembershipOptions
 
   constructor (options: MembershipOptions) {
     this._options = options
     this.lease = new Lease(options.times)
     this._watch = new Watch(options.times)
-    this._round = new PromiseRound(this.lease)
+    this._consent = new Consent({ lease: this.lease, watch: this._watch, times: options.times, outbox: options.outbox })
   }
 
   get identity (): Identity {
@@ -110,7 +109,7 @@
     if (this._phase === 'left') return
     this._noteLapse(now)
     if (!this._syncing && now >= this._nextSyncAt) this._sync(now)
-    if (this.self && this.lease.isOverdue(now)) this._askPromises(now)
+    if (this.self && this.lease.isOverdue(now)) this._consent.ask(this._standing(), now)
   }
 
   /** Brings the next exchange with the table forward. */
@@ -141,53 +140,22 @@
   }
 
   /** A watched entry asks for time. */
-  answerPromise (from: Member, request: PromiseRequest, revision: number, now: number): PromiseAnswer {
-    const known = memberOf(this._view, from.instance)
-    const granted = request.view === this._view.version && known?.incarnation === request.incarnation &&
-      this.self !== undefined && this.lease.isValid(now) && this._watch.mayPromise(from.instance)
-    if (granted) this._watch.promise(from.instance, now + this._options.times.termMs)
-    return {
-      kind: 'promise',
-      incarnation: request.incarnation,
-      round: request.round,
-      granted,
-      forMs: granted ? this._options.times.termMs : 0,
-      view: this._view.version,
-      revision
-    }
+  answerPromise (from: Member, request: PromiseRequest, now: number): void {
+    this._consent.answer(from, request, this._standing(), now)
   }
 
   /** A watcher's answer arrived. */
   takePromise (from: string, answer: PromiseAnswer): void {
-    if (answer.incarnation !== this._incarnation || !answer.granted || answer.view !== this._view.version) return
-    this._round.granted(from, answer.round, answer.forMs)
+    this._consent.take(from, answer, this._standing())
   }
 
   /** The peer's address refused the connection: that process has ended. */
   peerGone (instance: string, incarnation: string): void {
-    this._gone.add(`${instance}#${incarnation}`)
+    this._consent.gone(instance, incarnation)
   }
 
-  private _askPromises (now: number): void {
-    const self = this.self
-    if (!self || now < this._round.nextAt) return
-    const asked = promisorsOf(this._view, self).filter((member) => !this._isGone(member))
-    const round = this._round.start(asked.map((member) => member.instance), now, this._options.times.renewMs / 2)
-    for (const to of asked) {
-      const message = {
-        kind: 'promise-request' as const,
-        incarnation: this._incarnation,
-        view: this._view.version,
-        revision: this._options.listener.revision,
-        round
-      }
-      this._options.outbox.put({ kind: 'send', to, message })
-    }
-    if (asked.length === 0) this._round.settleAlone(now, this._options.times.termMs)
-  }
-
-  private _isGone (member: Member): boolean {
-    return this._gone.has(`${member.instance}#${member.incarnation}`)
+  private _standing (): Standing {
+    return { view: this._view, self: this.self, incarnation: this._incarnation, revision: this._options.listener.revision }
   }
 
   private _extend (sentAt: number): void {
@@ -247,7 +215,7 @@
     if (!self) return []
     const all = evictors(view).filter((member) => member.instance !== self.instance)
     if (self.state === 'joining') return all
-    return evictable(view, self)
+    return watchedBy(view, self)
   }
 
   private _synced (result: TransactionResult, renewing: boolean, sentAt: number, now: number): void {
@@ -397,7 +365,7 @@
    */
   private _waitMs (self: Member, member: Member): number {
     const { termMs, abandonMs } = this._options.times
-    return self.state === 'joining' && !this._isGone(member) ? abandonMs : termMs
+    return self.state === 'joining' && !this._consent.isGone(member) ? abandonMs : termMs
   }
 
   /** A joining entry calls members whose leases stand still, to learn whether they are gone. */
@@ -435,11 +403,3 @@
     })
   }
 }
-
-function evictable (view: View, self: Member): Member[] {
-  const able = evictors(view)
-  return able.filter((member) => {
-    if (member.instance === self.instance) return false
-    return watchersOf(able, member).some((watcher) => watcher.instance === self.instance)
-  })
-}
--- a/packages/core/src/membership/ownership.ts
+++ b/packages/core/src/membership/ownership.ts
@@ -88,6 +88,9 @@
     for (const shard of missing) {
       this._holdings.set(shardKey(shard), { shard, progress: 'reading', version: 0, nextAt: now, origin: 'fresh', servers: [] })
     }
+    for (const [key, given] of this._given) {
+      if (now >= given.until) this._given.delete(key)
+    }
     this._readDue(now)
   }
 
--- a/packages/core/src/membership/view.ts
+++ b/packages/core/src/membership/view.ts
@@ -66,6 +66,15 @@
   return found
 }
 
+/** The members that one may evict: those whose watcher it is. */
+export function watchedBy (view: View, watcher: Member): Member[] {
+  const able = evictors(view)
+  return able.filter((member) => {
+    if (member.instance === watcher.instance) return false
+    return watchersOf(able, member).some((other) => other.instance === watcher.instance)
+  })
+}
+
 function groupsOf (members: readonly Member[], watched: Member): Member[][] {
   const others = members.filter((member) => member.instance !== watched.instance)
   const regions = after(others.map((member) => member.region), watched.region)
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -101,8 +101,7 @@
     const attempt = this._attempts.get(id)
     if (!attempt?.server || !attempt.holder) return
     this._close(attempt)
-    attempt.holder.ended(attempt.server, id, end, now)
-    this._options.holdings.attemptEnded(attempt.server)
+    this._endAt(attempt.server, attempt.holder, id, end, now)
     const { request } = attempt
     if (this._requests.has(request.id)) this._settle(request, attempt, end, now)
     this.drain(request.service, now)
@@ -339,8 +338,18 @@
     attempt.request.ambiguous = true
     if (!attempt.server || !attempt.holder) return
     const late = now >= attempt.request.deadlineAt
-    attempt.holder.ended(attempt.server, id, { outcome: late ? 'expired' : 'cancelled', latencyMs: now - attempt.startedAt }, now)
-    this._options.holdings.attemptEnded(attempt.server)
+    const end: AttemptEnd = { outcome: late ? 'expired' : 'cancelled', latencyMs: now - attempt.startedAt }
+    this._endAt(attempt.server, attempt.holder, id, end, now)
+  }
+
+  /** Tells the holder, and the log if the server now stands otherwise. */
+  private _endAt (server: BackendServer, holder: ServiceHolder, attempt: number, end: AttemptEnd, now: number): void {
+    const before = server.state
+    holder.ended(server, attempt, end, now)
+    this._options.holdings.attemptEnded(server)
+    if (server.state === before) return
+    const { id, service } = server.place
+    this._options.outbox.log({ decision: 'server-state', server: id, service, reason: server.state, figure: server.limit })
   }
 
   private _maybeHedge (attempt: Attempt, now: number): void {
--- a/utils/measure.sh
+++ b/utils/measure.sh
@@ -31,7 +31,7 @@
 }
 
 # As the systemd unit runs an entry.
-ENTRY_FLAGS="${ENTRY_FLAGS---max-semi-space-size=2 --max-old-space-size=96}"
+ENTRY_FLAGS="${ENTRY_FLAGS---max-semi-space-size=8 --max-old-space-size=96}"
 
 capacity_point () { # entries, servers, services
   local zones=(r1-a r1-b r1-c r2-a r2-b r3-a r3-b) entry_pids=() ports=() zone index
