Stream one answer only, and stop gracefully without the table service

Cause: read again as a newcomer: a hedge's loser could cut an answer that was already streaming; a planned stop while the table service was down waited for its limit and then cut connections; two invariants were named but never checked. Change: a streaming answer cancels the request's other attempts; a stop ends once nothing is in flight and only the table has not been told; what is cut at the limit counts as a broken invariant; a document must declare the connections that the slots imply.

--- a/packages/core/src/configuration/document.ts
+++ b/packages/core/src/configuration/document.ts
@@ -123,8 +123,10 @@
   if (item.coldLimit > item.slots) {
     faults.push({ path: `services.${index}.coldLimit`, reason: `is above slots (${item.slots})` })
   }
-  if (item.connections < item.slots) {
-    faults.push({ path: `services.${index}.connections`, reason: `is below slots (${item.slots})` })
+  const least = 2 * item.slots + 1
+  if (item.connections < least) {
+    const why = 'a pooled and a fresh connection for each slot, and one for probes'
+    faults.push({ path: `services.${index}.connections`, reason: `is below ${least}: ${why}` })
   }
   for (const [at, entry] of item.kinds.entries()) {
     if (entry.hedgeAfterMs === undefined || entry.idempotent) continue
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -117,6 +117,7 @@
       case 'request-arrived': return this.router.arrive(event.request, now)
       case 'request-cancelled': return this.router.cancelled(event.request, now)
       case 'attempt-ended': return this.router.attemptEnded(event.attempt, event.end, now)
+      case 'attempt-streaming': return this.router.streaming(event.attempt, now)
       case 'forward-ended': return this.router.forwardEnded(event.attempt, event.end, now)
       case 'claim-answered': return this.router.claimed(event.request, event.result, now)
       case 'transacted': return this._transactions.settle(event.id, event.results, now)
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -32,6 +32,12 @@
   end: AttemptEnd
 }
 
+/** An attempt's answer is too large to hold and begins to reach the caller: no other answer can. */
+export interface StreamingEvent {
+  kind: 'attempt-streaming'
+  attempt: number
+}
+
 /** A request that was sent on to a peer came back. */
 export interface ForwardEvent {
   kind: 'forward-ended'
@@ -99,6 +105,7 @@
   | RequestEvent
   | CancelledEvent
   | AttemptEvent
+  | StreamingEvent
   | ForwardEvent
   | ClaimEvent
   | TransactedEvent
--- a/packages/core/src/invariants.ts
+++ b/packages/core/src/invariants.ts
@@ -5,7 +5,6 @@
 export type Invariant =
   | 'slot-limit'
   | 'cold-limit'
-  | 'connection-limit'
   | 'lease-held'
   | 'zone-out'
   | 'leaving-server'
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -107,6 +107,14 @@
     this.drain(request.service, now)
   }
 
+  /** An attempt's answer has begun to reach the caller: the request's other attempts are of no use any more. */
+  streaming (id: number, now: number): void {
+    const request = this._attempts.get(id)?.request
+    if (!request) return
+    request.hedged = true
+    for (const open of request.open.filter((other) => other !== id)) this._cancel(open, now)
+  }
+
   /** A request that was sent on came back. */
   forwardEnded (id: number, end: ForwardEnd, now: number): void {
     const attempt = this._attempts.get(id)
--- a/packages/entry/src/runtime/entryNode.ts
+++ b/packages/entry/src/runtime/entryNode.ts
@@ -163,7 +163,7 @@
     const retrySpent = exchange.spec.retrySpent || !effect.first
     this._sides.backends.dispatch(effect, exchange, retrySpent, {
       whole: (answer) => this._answers.set(attempt, answer),
-      large: (answer, done) => exchange.stream(answer, done),
+      large: (answer, done) => this._stream(attempt, exchange, answer, done),
       ended: (end) => this.handle({ kind: 'attempt-ended', attempt, end })
     })
   }
@@ -174,11 +174,17 @@
     if (!exchange) return this.handle({ kind: 'forward-ended', attempt, end: { outcome: 'refused', busy: false } })
     this._sides.forwards.forward(effect, exchange, {
       whole: (answer) => this._answers.set(attempt, answer),
-      large: (answer, done) => exchange.stream(answer, done),
+      large: (answer, done) => this._stream(attempt, exchange, answer, done),
       ended: (end) => this.handle({ kind: 'forward-ended', attempt, end })
     })
   }
 
+  /** Once an answer streams, the request's other attempts are cancelled. */
+  private _stream (attempt: number, exchange: Exchange, answer: Answer, done: (whole: boolean) => void): void {
+    this.handle({ kind: 'attempt-streaming', attempt })
+    exchange.stream(answer, done)
+  }
+
   private _answer (request: number, attempt: number): void {
     const exchange = this._exchanges.get(request)
     const answer = this._answers.get(attempt)
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -52,7 +52,7 @@
 const PEER_TIMEOUT_MS = 1000
 const PROBE_TIMEOUT_MS = 1000
 const SEED_SPAN = 2 ** 32
-const STOP_POLL_MS = 20
+const STOP_POLL_MS = 100
 const TRANSACTORS = 3
 
 /** Builds and starts an entry. Ports that were 0 are chosen by the system before others are told of them. */
@@ -177,16 +177,17 @@
     stop: async () => {
       node.stopping = true
       node.handle({ kind: 'stop' })
-      const graceful = await withinTime(hasLeft, settings.stopMs) && node.open === 0
-      if (!graceful) log.error({ open: node.open, progress: core.stopProgress }, 'stop limit reached; requests were cut')
+      await withinTime(Promise.race([hasLeft, nothingLeftToDo(node)]), settings.stopMs)
+      const { open } = node
+      core.invariants.check('stop-cuts-nothing', open === 0, () => `${open} requests at the stop limit, ${core.stopProgress}`)
       const closed = Promise.all([callerPort.close(), peerPort.close()])
-      if (!graceful || !await withinTime(closed, settings.stopMs)) {
+      if (open > 0 || !await withinTime(closed, settings.stopMs)) {
         callerPort.cut()
         peerPort.cut()
       }
       await close()
-      log.info({ instance: settings.instance, graceful }, 'entry stopped')
-      return graceful
+      log.info({ instance: settings.instance, cut: open, left: core.membership.phase === 'left' }, 'entry stopped')
+      return open === 0
     },
     crash: () => {
       callerPort.cut()
@@ -240,6 +241,14 @@
   })
 }
 
+/** Settles once nothing is in flight and only the table service, which is silent, has not been told. */
+async function nothingLeftToDo (node: EntryNode): Promise<void> {
+  const isDone = (): boolean => node.open === 0 && node.core.stopProgress === 'done'
+  while (!isDone() || node.core.membership.tableReached(performance.now())) {
+    await new Promise((resolve) => setTimeout(resolve, STOP_POLL_MS))
+  }
+}
+
 async function withinTime (done: Promise<unknown>, ms: number): Promise<boolean> {
   let timer: NodeJS.Timeout | undefined
   const late = new Promise<boolean>((resolve) => {
--- a/packages/laboratory/src/bin/prepare.ts
+++ b/packages/laboratory/src/bin/prepare.ts
@@ -23,7 +23,7 @@
     path: `/${name}`,
     slots: Number(options.slots),
     coldLimit: Number(options.cold),
-    connections: 200,
+    connections: 2 * Number(options.slots) + 1,
     kinds: [
       { name: 'get', methods: ['GET'], idempotent: true },
       ...(options.orders ? [{ name: 'place', methods: ['POST'], idempotent: false }] : [])
--- a/packages/laboratory/src/measure/chain.ts
+++ b/packages/laboratory/src/measure/chain.ts
@@ -41,7 +41,7 @@
         path: `/s${level}`,
         slots: 1000,
         coldLimit: 1000,
-        connections: 1000,
+        connections: 2001,
         kinds: [{ name: 'k', methods: ['GET'], idempotent: true, deadlineMs: 5000 }]
       }))
     })
--- a/packages/laboratory/src/measure/coreCosts.ts
+++ b/packages/laboratory/src/measure/coreCosts.ts
@@ -77,7 +77,7 @@
 
 /** Decision lines as an entry writes them, into a file that keeps nothing. */
 function logLinesUs (count: number): number {
-  const log = pino({ name: 'measured' }, destination({ dest: '/dev/null', sync: false, minLength: 8192 }))
+  const log = pino({ name: 'measured' }, destination({ dest: '/dev/null', sync: true, minLength: 8192 }))
   return timed(() => {
     for (let line = 0; line < count; line++) {
       log.info({ decision: 'dispatched', request: line, service: 'service-1', server: 'server-1', figure: 1 })
--- a/packages/standins/src/backend/backendServer.ts
+++ b/packages/standins/src/backend/backendServer.ts
@@ -26,6 +26,8 @@
   slowFactor: number
   /** Every request is answered with 500 at once. */
   failFast: boolean
+  /** Answers are filled up to this size, in bytes. */
+  answerBytes: number
   /** Answers are cut in the middle. */
   truncate: boolean
 }
@@ -36,7 +38,7 @@
 
 /** One listening backend server. */
 export class StandInBackend {
-  readonly faults: BackendFaults = { slowFactor: 1, failFast: false, truncate: false }
+  readonly faults: BackendFaults = { slowFactor: 1, failFast: false, answerBytes: 0, truncate: false }
   private readonly _options: BackendOptions
   private readonly _server: Server
   private _active = 0
@@ -130,7 +132,8 @@
   }
 
   private _answer (response: ServerResponse, mark: string, body: Buffer): void {
-    const text = JSON.stringify({ mark, server: this._options.id, bytes: body.length })
+    const filling = 'x'.repeat(this.faults.answerBytes)
+    const text = JSON.stringify({ mark, server: this._options.id, bytes: body.length, filling })
     response.setHeader('content-type', 'application/json')
     response.setHeader('content-length', Buffer.byteLength(text))
     if (!this.faults.truncate) return void response.end(text)
--- a/tests/entry.spec.ts
+++ b/tests/entry.spec.ts
@@ -127,6 +127,35 @@
     expect((await send(deployment.portOf(1 - holder), 'GET', '/orders')).status).to.equal(200)
   })
 
+  it('should stop without cutting anything while the table service is down', async () => {
+    await deployment.start(smallDocument(), [{ zone: 'a', meanMs: 150 }], ['a'])
+    deployment.platform.tableFaults.down = true
+    const inFlight = send(deployment.portOf(0), 'GET', '/orders')
+    await until(() => deployment.entries[0]!.node.open === 1)
+    expect(await deployment.entries[0]!.stop()).to.equal(true)
+    expect((await inFlight).status).to.equal(200)
+  })
+
+  it('should pass a large answer on whole, and cancel the request\'s other attempts', async () => {
+    const kinds = [{ name: 'check', methods: ['GET'], idempotent: true, hedgeAfterMs: 20 }]
+    await deployment.start(smallDocument({ kinds, retryRatio: 1 }), [{ zone: 'a' }, { zone: 'a' }], ['a'])
+    for (const backend of deployment.backends) backend.faults.answerBytes = 2_000_000
+    for (let count = 0; count < 12; count++) {
+      deployment.backends[0]!.faults.slowFactor = count % 3 === 0 ? 30 : 1
+      const answer = await send(deployment.portOf(0), 'GET', '/orders', { 'x-mark': `m${count}` })
+      expect(answer.text.length).to.be.above(2_000_000)
+      expect(answer.text).to.include(`"m${count}"`)
+    }
+  })
+
+  it('should stream a body that is too large to hold', async () => {
+    await deployment.start(smallDocument(), [{ zone: 'a' }], ['a', 'b'])
+    for (const index of [0, 1]) {
+      const answer = await send(deployment.portOf(index), 'POST', '/orders', {}, 'x'.repeat(900_000))
+      expect(JSON.parse(answer.text)).to.include({ bytes: 900_000 })
+    }
+  })
+
   it('should take over the servers of a crashed entry', async () => {
     await deployment.start(smallDocument(), [{ zone: 'a' }], ['a', 'a', 'b'])
     const holder = deployment.entries.findIndex((entry) => entry.node.core.holdings.servers.size === 1)
@@ -141,7 +170,7 @@
   it('should keep serving while the table service is down', async () => {
     await deployment.start(smallDocument(), [{ zone: 'a' }], ['a', 'b'])
     deployment.platform.tableFaults.down = true
-    const silent = () => deployment.entries.every((entry) => entry.node.core.membership.tableSilentMs(performance.now()) > 2000)
+    const silent = () => deployment.entries.every((entry) => entry.node.core.membership.tableSilentMs(performance.now()) > 4000)
     await until(silent)
     expect((await send(deployment.portOf(0), 'GET', '/orders')).status).to.equal(200)
     expect((await send(deployment.portOf(1), 'GET', '/orders')).status).to.equal(200)
--- a/tests/record.ts
+++ b/tests/record.ts
@@ -68,7 +68,7 @@
     async run (deployment, call) {
       await call('GET')
       deployment.platform.tableFaults.down = true
-      await until(() => deployment.entries[0]!.node.core.membership.tableSilentMs(performance.now()) > 2500)
+      await until(() => deployment.entries[0]!.node.core.membership.tableSilentMs(performance.now()) > 4000)
       for (let count = 0; count < 4; count++) await call('GET')
       await call('POST', { 'idempotency-key': 'k1' })
       deployment.platform.tableFaults.down = false
@@ -80,7 +80,7 @@
     async run (deployment, call) {
       for (let count = 0; count < 4; count++) await call('GET')
       deployment.platform.tableFaults.down = true
-      const wake = performance.now() + 1600
+      const wake = performance.now() + 3500
       while (performance.now() < wake);
       await call('GET')
       deployment.platform.tableFaults.down = false
