Say "not run" of a keyed request only once its key is claimed

Cause: read again as a newcomer: an order sent again under its key was told "not run" though the first one had run; who reads that sends it anew. Change: until its key is claimed such a request is "unknown"; a duplicate is told how the earlier one stands.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -16,7 +16,7 @@
   }
 })
 
-const SHARED = ['errors', 'invariants', 'random', 'hash', 'effects']
+const SHARED = ['errors', 'invariants', 'random', 'hash', 'effects', 'events']
 
 module.exports = {
   forbidden: [
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -46,6 +46,8 @@
   request: number
   outcome: 'not-run' | 'unknown'
   reason: Reason
+  /** How the earlier request with the same idempotency key stands. */
+  earlier?: ClaimRow['outcome']
   retryAfterMs?: number
 }
 
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -119,7 +119,7 @@
       case 'attempt-ended': return this.router.attemptEnded(event.attempt, event.end, now)
       case 'attempt-streaming': return this.router.streaming(event.attempt, now)
       case 'forward-ended': return this.router.forwardEnded(event.attempt, event.end, now)
-      case 'claim-answered': return this.router.claimed(event.request, event.result, now)
+      case 'claim-answered': return this.router.claimed(event, now)
       case 'transacted': return this._transactions.settle(event.id, event.results, now)
       case 'received': return this._received(event, now)
       case 'listed': return this._listed(event.change, now)
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -2,7 +2,7 @@
 import type { AcceptedDocument } from './configuration/revisions.js'
 import type { AttemptEnd, LoadReport } from './limits/backendServer.js'
 import type { PeerMessage } from './membership/messages.js'
-import type { TransactionResult } from './membership/tables.js'
+import type { ClaimRow, TransactionResult } from './membership/tables.js'
 import type { ClaimResult } from './retries/claims.js'
 import type { ListChange } from './routing/directory.js'
 import type { RequestSpec } from './routing/request.js'
@@ -50,6 +50,8 @@
   kind: 'claim-answered'
   request: number
   result: ClaimResult
+  /** How the earlier request with the key stands, when there is one. */
+  earlier?: ClaimRow['outcome']
 }
 
 /** Transactions were answered; without results they may or may not have taken effect. */
--- a/packages/core/src/routing/request.ts
+++ b/packages/core/src/routing/request.ts
@@ -58,7 +58,10 @@
   open: number[]
   /** Entries it was sent on to from here. */
   sentTo: string[]
-  /** Whether an attempt ended without showing if it ran. */
+  /**
+   * Whether it, or an earlier request with its key, may have run: until its key is claimed, and
+   * once an attempt ended without showing if it ran.
+   */
   ambiguous: boolean
   hedged: boolean
   /** Order in the queue; lower goes first. */
@@ -88,7 +91,7 @@
     tried: [],
     open: [],
     sentTo: [],
-    ambiguous: false,
+    ambiguous: !spec.idempotent && spec.idempotencyKey !== undefined,
     hedged: false,
     rank: 0
   }
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -1,9 +1,10 @@
 /** The life of each request at this entry: queued, dispatched, sent on, answered or refused. */
 import type { Revisions } from '../configuration/revisions.js'
 import type { Outbox, RefuseEffect } from '../effects.js'
+import type { ClaimEvent } from '../events.js'
 import type { Invariants } from '../invariants.js'
 import type { AttemptEnd, BackendServer } from '../limits/backendServer.js'
-import type { ClaimResult, Claims } from '../retries/claims.js'
+import type { Claims } from '../retries/claims.js'
 import type { PeerChoice } from './peerChoice.js'
 import { newRequest, type Reason, type Request, type RequestSpec } from './request.js'
 import type { ServiceHolder } from './serviceHolder.js'
@@ -87,11 +88,12 @@
   }
 
   /** The idempotency key is this request's, or another's, or nobody can tell. */
-  claimed (id: number, result: ClaimResult, now: number): void {
+  claimed ({ request: id, result, earlier }: ClaimEvent, now: number): void {
     const request = this._requests.get(id)
     const granted = this._options.claims.take(id, result, request !== undefined)
     if (!request) return
-    if (!granted) return this._refuse(request, result === 'duplicate' ? 'duplicate' : 'claims-unavailable')
+    if (!granted) return this._refuse(request, result === 'duplicate' ? 'duplicate' : 'claims-unavailable', earlier)
+    request.ambiguous = false
     if (now >= request.deadlineAt) return this._refuse(request, 'expired')
     this._place(request, now)
   }
@@ -372,12 +374,12 @@
     this._dispatch(request, holder, server, now)
   }
 
-  private _refuse (request: Request, reason: Reason): void {
+  private _refuse (request: Request, reason: Reason, earlier?: RefuseEffect['earlier']): void {
     const outcome: RefuseEffect['outcome'] = request.ambiguous || request.open.length > 0 ? 'unknown' : 'not-run'
     this._finish(request, outcome)
     this._options.outbox.log({ decision: 'refused', request: request.id, service: request.service, reason })
-    const effect = { kind: 'refuse' as const, request: request.id, outcome, reason }
-    const temporary = outcome === 'not-run' && (reason === 'full' || reason === 'no-holder' || reason === 'claims-unavailable')
+    const effect = { kind: 'refuse' as const, request: request.id, outcome, reason, earlier }
+    const temporary = reason === 'claims-unavailable' || (outcome === 'not-run' && (reason === 'full' || reason === 'no-holder'))
     this._options.outbox.put(temporary ? { ...effect, retryAfterMs: RETRY_AFTER_MS } : effect)
   }
 
--- a/packages/entry/src/platform/claimLedger.ts
+++ b/packages/entry/src/platform/claimLedger.ts
@@ -11,7 +11,7 @@
   newId: () => string
   /** Wall clock in milliseconds since 1970. */
   wallClock: () => number
-  answered: (request: number, result: ClaimResult) => void
+  answered: (request: number, result: ClaimResult, earlier?: ClaimRow['outcome']) => void
 }
 
 /** A claim asked for, or one to be settled. */
@@ -159,7 +159,8 @@
   private _answer (order: Order, row: Row | undefined): void {
     const own = (row?.value as ClaimRow | undefined)?.claimId === order.claimId
     if (own) this._held.set(order.request, { claimId: order.claimId, version: row!.version })
-    this._options.answered(order.request, own ? 'claimed' : 'duplicate')
+    if (own) return this._options.answered(order.request, 'claimed')
+    this._options.answered(order.request, 'duplicate', (row?.value as ClaimRow | undefined)?.outcome)
   }
 }
 
--- a/packages/entry/src/runtime/exchange.ts
+++ b/packages/entry/src/runtime/exchange.ts
@@ -74,7 +74,7 @@
     if (this._streaming) return void response.destroy()
     if (this._answered || response.destroyed) return
     this._answered = true
-    const body = JSON.stringify({ outcome: effect.outcome, reason: effect.reason, request: this.spec.id })
+    const body = JSON.stringify({ outcome: effect.outcome, reason: effect.reason, earlier: effect.earlier, request: this.spec.id })
     const headers: string[] = [
       'content-type', 'application/json', 'content-length', String(Buffer.byteLength(body)),
       names.outcome, effect.outcome, names.reason, effect.reason
@@ -102,6 +102,7 @@
 
 function statusOf (effect: RefuseEffect): number {
   if (effect.reason === 'duplicate') return 409
+  if (effect.reason === 'claims-unavailable') return 503
   if (effect.reason === 'too-deep') return 508
   if (effect.reason === 'deadline' || effect.reason === 'expired') return 504
   return STATUS_OF_OUTCOME[effect.outcome]
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -106,7 +106,7 @@
     instance: settings.instance,
     newId,
     wallClock: () => Date.now(),
-    answered: (request, result) => node.handle({ kind: 'claim-answered', request, result })
+    answered: (request, result, earlier) => node.handle({ kind: 'claim-answered', request, result, earlier })
   })
   let left: () => void = () => {}
   const hasLeft = new Promise<void>((resolve) => {
--- a/utils/mutations.mjs
+++ b/utils/mutations.mjs
@@ -24,7 +24,7 @@
   ['one-holder', 'membership/lease.js', 'return now < this._validUntil;', 'return true;'],
   ['one-holder', 'membership/watch.js', 'if (now - sighting.since < waitMs + this._times.marginMs)', 'if (now - sighting.since < 200)'],
   ['one-holder', 'membership/ownership.js', 'if (!hasIncarnation(membership.view, owner.instance, owner.incarnation))', 'if (owner)'],
-  ['one-holder', 'membership/membership.js', 'this._watch.promise(from.instance, now + this._options.times.termMs);', ''],
+  ['one-holder', 'membership/consent.js', 'watch.promise(from.instance, now + times.termMs);', ';'],
   ['zone-out', 'configuration/revisions.js', "return this._zones.get(name)?.state === 'in';", 'return true;'],
   ['zone-out', 'configuration/spread.js', 'this._take([], document, now);\n    }\n    /** A peer asks', '}\n    /** A peer asks'],
   ['leaving-server', 'holdings.js', "if (server.state !== 'live' || !this._options.revisions.zoneIsIn(server.zone))", 'if (!this._options.revisions.zoneIsIn(server.zone))', [
@@ -33,6 +33,7 @@
   ['measuring-budget', 'limits/tokenBucket.js', 'if (this._tokens < 1)', 'if (false)'],
   ['not-run-truth', 'routing/router.js', "request.ambiguous || request.open.length > 0 ? 'unknown' : 'not-run'", "'not-run'"],
   ['at-most-once', 'routing/router.js', 'return request.idempotent && !request.retrySpent;', 'return true;'],
+  ['not-run-truth', 'routing/request.js', 'ambiguous: !spec.idempotent && spec.idempotencyKey !== undefined', 'ambiguous: false'],
   ['at-most-once', 'retries/claims.js', "if (result === 'duplicate')\n            return false;", ''],
   ['one-answer', 'routing/router.js', 'if (this._requests.has(request.id))\n            this._settle', 'this._settle', [
     ['routing/router.js', "this._finish(request, 'answered');\n        for (const open of [...request.open])\n            this._cancel(open, now);", "this._finish(request, 'answered');"]
--- a/utils/storm.sh
+++ b/utils/storm.sh
@@ -2,28 +2,13 @@
 # Real processes in a storm: the holder is frozen past its lease and woken, another entry is killed, a third is stopped.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-lab=packages/laboratory/dist/bin
-work="$(mktemp -d)"
-pids=()
-finish () {
-  for pid in "${pids[@]:-}"; do
-    if [ -n "$pid" ]; then kill -KILL "$pid" 2>/dev/null || true; fi
-  done
-  rm -rf "$work"
-}
-trap finish EXIT
-
-start () { # name, command...
-  local name="$1"
-  shift
-  "$@" >"$work/$name.out" 2>"$work/$name.err" &
-  pids+=("$!")
-}
+. utils/processes.sh
 
 start platform node packages/standins/dist/bin/platform.js --port 7600 --lag-ms 0
 start backend node packages/standins/dist/bin/backend.js --service orders --zone a --count 4 --slots 2 --cold 1 --mean-ms 8
 backend_pid="${pids[-1]}"
-sleep 1
+await_line "$work/platform.out"
+await_line "$work/backend.out"
 node "$lab/prepare.js" --platform http://127.0.0.1:7600 --servers "$work/backend.out" --slots 2 --cold 1 --orders
 entry_pids=()
 for index in 0 1 2 3; do
