Prove that joining entries are asked for consent

Cause: the one mutation of 21 that stayed green: no story has all of a region's entries cut off while one joins. Change: a focused spec. Before: green. After: red, with all other mutations.

--- a/tests/membership.spec.ts
+++ b/tests/membership.spec.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import {
-  Lease, LEASE_TIMES, Placement, shardOfServer, Watch, watchersOf, type Member
+  Lease, LEASE_TIMES, Placement, promisorsOf, shardOfServer, Watch, watchersOf, type Member
 } from '@gooseberryspan/core'
 
 function member (index: number, region = 'r1', zone = 'a'): Member {
@@ -89,6 +89,13 @@
     }
   })
 
+  it('should give consent only together with one that joins and will watch', () => {
+    const all = [member(0, 'r1', 'a'), member(1, 'r1', 'b'), member(2, 'r1', 'c')]
+    const joining = { ...member(3, 'r2', 'd'), state: 'joining' as const }
+    const asked = promisorsOf({ version: 1, members: [...all, joining], splits: [] }, all[0]!)
+    expect(asked).to.have.members([all[1], all[2], joining])
+  })
+
   it('should only gain a member that joined, whoever joins', () => {
     fc.assert(fc.property(members, (all) => {
       const [joiner, ...before] = all
--- a/utils/mutations.mjs
+++ b/utils/mutations.mjs
@@ -41,7 +41,7 @@
   ['no-revert', 'configuration/revisions.js', 'if (!this._current || change.revision !== this.revision + 1)', 'if (!this._current)',
     [], 'should take late and doubled changes'],
   ['one-holder', 'membership/watch.js', 'return !this._evicting.has(instance);', 'return true;', [], 'should not promise while its own eviction'],
-  ['one-holder', 'membership/view.js', 'watchersOf(view.members, watched)', '[]'],
+  ['one-holder', 'membership/view.js', 'watchersOf(view.members, watched)', '[]', [], 'should give consent only together'],
   ['in-force-everywhere', 'configuration/spread.js', 'if (revision > this._options.revisions.revision && !this._reading)', 'if (false)', [
     ['configuration/spread.js', 'const behind = has.revision > revisions.revision ||', 'const behind =']
   ]],
