Remove what nothing uses

Cause: the whole change read once more: a server's removal and its trust flag were never called (a server that is not listed any more is dropped by its holder), and a request's arrival time was never read. Change: they are gone. Conclusion: no behaviour changes.

--- a/packages/core/src/limits/backendServer.ts
+++ b/packages/core/src/limits/backendServer.ts
@@ -85,7 +85,6 @@
   private _samples = 0
   private _lifeSignAt: number
   private _epoch: string | undefined
-  private _trusted = true
 
   constructor (place: ServerPlace, service: Service, now: number, invariants: Invariants) {
     this.place = place
@@ -231,19 +230,13 @@
   probed (healthy: boolean, report: LoadReport | undefined, now: number): void {
     if (report) this.hear(report, now)
     if (!healthy) return
-    if (this._state === 'gone' && this._trusted) this._state = 'cold'
+    if (this._state === 'gone') this._state = 'cold'
     if (this._state === 'cold' && this._failures > 0) {
       this._failures = 0
       this._pausedUntil = 0
     }
   }
 
-  /** The instance list no longer names the server. */
-  remove (): void {
-    this._state = 'gone'
-    this._trusted = false
-  }
-
   /** What the next holder has to know. */
   handOver (deadlineOf: (attempt: number) => number, now: number): ServerHandover {
     const own = [...this._started.keys()].map((attempt) => deadlineOf(attempt) - now)
--- a/packages/core/src/routing/request.ts
+++ b/packages/core/src/routing/request.ts
@@ -49,7 +49,6 @@
 /** A request on its way through one entry. */
 export interface Request extends RequestSpec {
   state: RequestState
-  arrivedAt: number
   /** Dispatches of this request so far. */
   dispatches: number
   /** Servers that this request was tried at. */
@@ -69,7 +68,7 @@
 }
 
 /** A request as it arrives. Every field is written out, which is far cheaper than a spread on the hot path. */
-export function newRequest (spec: RequestSpec, now: number): Request {
+export function newRequest (spec: RequestSpec): Request {
   return {
     id: spec.id,
     service: spec.service,
@@ -86,7 +85,6 @@
     hedgeAfterMs: spec.hedgeAfterMs,
     claims: spec.claims,
     state: 'queued',
-    arrivedAt: now,
     dispatches: 0,
     tried: [],
     open: [],
--- a/packages/core/src/routing/router.ts
+++ b/packages/core/src/routing/router.ts
@@ -79,7 +79,7 @@
   }
 
   arrive (spec: RequestSpec, now: number): void {
-    const request = newRequest(spec, now)
+    const request = newRequest(spec)
     this._requests.set(request.id, request)
     const refusal = this._refusalAtOnce(request, now)
     if (refusal) return this._refuse(request, refusal)
--- a/tests/routing.spec.ts
+++ b/tests/routing.spec.ts
@@ -218,7 +218,7 @@
 
 describe('request queue', () => {
   let queue: RequestQueue
-  const request = (id: number, changes: Partial<RequestSpec> = {}): Request => newRequest(spec(id, changes), 0)
+  const request = (id: number, changes: Partial<RequestSpec> = {}): Request => newRequest(spec(id, changes))
   const order = (): number[] => [...queue].map(({ id }) => id)
 
   beforeEach(() => {
