Place requests by schedulers that read loads first, and weigh the ways in a load model

Cause: on servers whose pace changes every 300 ms by a factor of 4, entries that decide alone race for the same slots, and a holder that places by its own counts alone sends a quarter of the work to a slow spell.

Change: a scheduler of one service's requests (line, load readings before each placement, cold allowance, retry budget, hedges) and a model of the users' two deployments that plays it against five other ways on the same arrivals.

The entry does not use it yet.

--- /dev/null
+++ b/packages/core/src/configuration/declarations.ts
@@ -0,0 +1,62 @@
+/** What is in force at one entry: it never goes back. */
+import type { Invariants } from '../invariants.js'
+import type { CallerLimits, Gateway, Route, ServicePolicy } from './gateway.js'
+import { RouteTable, type RouteQuery } from './routeTable.js'
+
+/** The gateway in force and the zones that are out of service. */
+export class Declarations {
+  private _gateway: Gateway | undefined
+  private _routes = new RouteTable([])
+  private _services = new Map<string, ServicePolicy>()
+  private _evacuated: ReadonlySet<string> = new Set()
+  private readonly _invariants: Invariants
+
+  constructor (invariants: Invariants) {
+    this._invariants = invariants
+  }
+
+  /** The revision in force, 0 before the first. */
+  get revision (): number {
+    return this._gateway?.revision ?? 0
+  }
+
+  get gateway (): Gateway | undefined {
+    return this._gateway
+  }
+
+  get limits (): CallerLimits | undefined {
+    return this._gateway?.limits
+  }
+
+  /** Takes a gateway if it is newer. Returns whether it came into force. */
+  adopt (gateway: Gateway): boolean {
+    if (gateway.revision <= this.revision) return false
+    this._invariants.check('no-revert', gateway.revision > this.revision, () => `revision ${gateway.revision} after ${this.revision}`)
+    this._gateway = gateway
+    this._routes = new RouteTable(gateway.routes)
+    this._services = new Map(gateway.services.map((service) => [service.name, service]))
+    return true
+  }
+
+  /** The zones that operators have taken out by themselves, as they now are. */
+  evacuate (zones: ReadonlySet<string>): void {
+    this._evacuated = zones
+  }
+
+  findRoute (query: RouteQuery): Route | undefined {
+    return this._routes.find(query)
+  }
+
+  service (name: string): ServicePolicy | undefined {
+    return this._services.get(name)
+  }
+
+  get services (): IterableIterator<ServicePolicy> {
+    return this._services.values()
+  }
+
+  /** Whether a zone may be sent new work. */
+  zoneIsIn (zone: string): boolean {
+    return !this._evacuated.has(zone) && !(this._gateway?.zonesOut.includes(zone) ?? false)
+  }
+}
--- /dev/null
+++ b/packages/core/src/members/member.ts
@@ -0,0 +1,45 @@
+/** One entry process as others know it. */
+
+/** What an entry says of itself. */
+export type Phase = 'starting' | 'ready' | 'leaving'
+
+/** What others think of it; each outranks the ones before it. */
+export type Standing = 'alive' | 'suspect' | 'dead'
+
+/** An entry process. */
+export interface Member {
+  instance: string
+  /** Start of the process, in milliseconds since 1970; a later one replaces an earlier one. */
+  incarnation: number
+  zone: string
+  host: string
+  /** Port for callers. */
+  port: number
+  /** Port for other entries. */
+  peerPort: number
+  /** Processor time that it has, in cores. */
+  cores: number
+  phase: Phase
+  /** Whether it reaches the platform's store. */
+  reachesStore: boolean
+  /** Rises with each change that the process makes to what it says of itself. */
+  sequence: number
+}
+
+/** A member with what somebody thinks of it. */
+export interface MemberNews {
+  member: Member
+  standing: Standing
+}
+
+const RANK: Record<Standing, number> = { alive: 0, suspect: 1, dead: 2 }
+
+/**
+ * Whether news is newer than what is known. A process that hears that it is thought dead raises its sequence,
+ * so that it counts as alive again; one that has ended cannot.
+ */
+export function supersedes (news: MemberNews, known: MemberNews): boolean {
+  if (news.member.incarnation !== known.member.incarnation) return news.member.incarnation > known.member.incarnation
+  if (news.member.sequence !== known.member.sequence) return news.member.sequence > known.member.sequence
+  return RANK[news.standing] > RANK[known.standing]
+}
--- /dev/null
+++ b/packages/core/src/members/peerMessages.ts
@@ -0,0 +1,161 @@
+/** What entries say to each other in single datagrams. Each may be lost, late, doubled or reordered. */
+import type { ServerEntry } from '../discovery/serverEntry.js'
+import type { AttemptReport, Purpose, RefusalReason } from '../placement/placementRequest.js'
+import type { StoredRow, TableName } from '../store/row.js'
+import type { MemberNews } from './member.js'
+
+/** Asks whether a member is there. */
+export interface Ping {
+  kind: 'ping'
+  sequence: number
+  news: MemberNews[]
+  /** Asks the receiver to ping this instance in the sender's place. */
+  target?: string
+}
+
+/** Says that a member is there. */
+export interface PingAnswer {
+  kind: 'ping-answer'
+  sequence: number
+  news: MemberNews[]
+  /** The instance that answered, when another one was asked to ping it. */
+  target?: string
+}
+
+/** Something about members that cannot wait for a ping. */
+export interface Gossip {
+  kind: 'gossip'
+  news: MemberNews[]
+}
+
+/** How current the sender's copy of a table is. */
+export interface TableStanding {
+  table: TableName
+  version: number
+  /** Time since it was known to be the newest, in milliseconds. */
+  ageMs: number
+}
+
+/** The store's watcher tells how current its copies are. */
+export interface WatchBeat {
+  kind: 'watch-beat'
+  tables: TableStanding[]
+  /** Instances that the receiver passes this on to. */
+  relay: string[]
+}
+
+/** Changed rows of a table. */
+export interface RowsMessage {
+  kind: 'rows'
+  table: TableName
+  from: number
+  to: number
+  ageMs: number
+  rows: StoredRow[]
+  relay: string[]
+}
+
+/** Asks the scheduler of a service for a server. Times are what is left, in milliseconds. */
+export interface PlaceMessage {
+  kind: 'place'
+  ask: number
+  service: string
+  route: string
+  purpose: Purpose
+  priority: number
+  targetMs: number
+  targetLeftMs: number
+  leftMs: number
+  avoid: string[]
+}
+
+/** A server for a request. */
+export interface GrantedMessage {
+  kind: 'granted'
+  ask: number
+  server: ServerEntry
+  expectedMs: number
+}
+
+/** The request waits for a server. */
+export interface QueuedMessage {
+  kind: 'queued'
+  asks: number[]
+}
+
+/** No server for a request. */
+export interface RefusedMessage {
+  kind: 'refused'
+  ask: number
+  reason: RefusalReason
+  retryAfterMs: number
+}
+
+/** What became of a grant. */
+export interface ReportMessage {
+  kind: 'report'
+  ask: number
+  service: string
+  route: string
+  server: string
+  report: AttemptReport
+}
+
+/** Nobody waits for these requests any more. */
+export interface WithdrawMessage {
+  kind: 'withdraw'
+  service: string
+  asks: number[]
+}
+
+/** The sender still waits for these. */
+export interface WaitingMessage {
+  kind: 'waiting'
+  service: string
+  asks: number[]
+}
+
+/** The receiver does not know these requests. */
+export interface UnknownMessage {
+  kind: 'unknown'
+  asks: number[]
+}
+
+/** Every message. */
+export type PeerMessage =
+  | Ping
+  | PingAnswer
+  | Gossip
+  | WatchBeat
+  | RowsMessage
+  | PlaceMessage
+  | GrantedMessage
+  | QueuedMessage
+  | RefusedMessage
+  | ReportMessage
+  | WithdrawMessage
+  | WaitingMessage
+  | UnknownMessage
+
+/** A member's whole copy of what entries share, for one that joins or is behind. */
+export interface PeerState {
+  news: MemberNews[]
+  tables: TableState[]
+}
+
+/** One table of a member's copy: changes after the asker's version, or all rows. */
+export interface TableState {
+  table: TableName
+  /** Version that the rows follow on; absent when they are the whole table. */
+  from?: number
+  version: number
+  ageMs: number
+  rows: StoredRow[]
+}
+
+/** What a member that asks for state has. */
+export interface PeerStateQuery {
+  member: Member
+  versions: Partial<Record<TableName, number>>
+}
+type Member = MemberNews['member']
--- /dev/null
+++ b/packages/core/src/placement/scheduler.ts
@@ -0,0 +1,308 @@
+/** Places the requests of one service: which server, now or later, or none at all. */
+import { RetryBudget, type RetryTolerance } from '../budgets/retryBudget.js'
+import type { ColdTolerance } from '../budgets/coldAllowance.js'
+import { SlidingCount } from '../budgets/slidingCount.js'
+import type { ServerEntry } from '../discovery/serverEntry.js'
+import { candidateOf, expectedPace, type Candidate, type Circumstances } from './candidates.js'
+import type { AttemptReport, Grant, PlacementRequest, Refusal, RefusalReason } from './placementRequest.js'
+import { ServerRecord, type ProbeAnswer } from './serverRecord.js'
+import { WaitingLine, type Waiting } from './waitingLine.js'
+import { WorkEstimate } from './workEstimate.js'
+
+/** Told of a scheduler's decisions. */
+export interface SchedulerListener {
+  granted (grant: Grant): void
+  refused (refusal: Refusal): void
+  /** The server's load has to be read. */
+  probe (server: ServerEntry): void
+}
+
+/** What a scheduler is built from. */
+export interface SchedulerOptions {
+  service: string
+  retry: RetryTolerance
+  cold: ColdTolerance
+  /** This scheduler's part of what all entries together may spend, between 0 and 1. */
+  share: () => number
+  listener: SchedulerListener
+  /** Loads read before each placement; 0 places on what answers told. */
+  readings?: number
+}
+
+/** Age up to which a load reading is taken as made just now, in milliseconds. */
+const FRESH_MS = 20
+/** Longest wait for a load reading before a placement, in milliseconds: a way between zones and back, and some. */
+const MEASURE_MS = 6
+const READINGS = 4
+const MOST_ROUNDS = 2
+/** Waiting for a server to become free must be better than a free one by this factor. */
+const WAIT_FACTOR = 1.15
+/** Load from which late requests find no room, as a share of what the servers bear. */
+const OVERLOAD = 0.95
+const RATE_WINDOW_MS = 500
+const SHORTEST_RETRY_AFTER_MS = 30
+const NO_SERVER_RETRY_AFTER_MS = 250
+/** A hedge needs a server that runs at its usual pace. */
+const HEDGE_PACE = 1.5
+/** An answer has to be back this long before the deadline, in milliseconds. */
+const DEADLINE_MARGIN_MS = 10
+
+/** The scheduler of one service. */
+export class Scheduler {
+  readonly work = new WorkEstimate()
+  private readonly _options: SchedulerOptions
+  private readonly _records = new Map<string, ServerRecord>()
+  private readonly _line = new WaitingLine()
+  private readonly _budget: RetryBudget
+  private readonly _arrivals = new SlidingCount(RATE_WINDOW_MS)
+
+  constructor (options: SchedulerOptions) {
+    this._options = options
+    this._budget = new RetryBudget(options.retry)
+  }
+
+  /** Requests that wait. */
+  get waiting (): number {
+    return this._line.length
+  }
+
+  /** What is known of each server. */
+  get records (): ReadonlyMap<string, ServerRecord> {
+    return this._records
+  }
+
+  /** Servers that may be sent to, as they are registered now. */
+  setServers (entries: readonly ServerEntry[], now: number): void {
+    const named = new Set(entries.map((entry) => entry.id))
+    for (const id of this._records.keys()) {
+      if (!named.has(id)) this._records.delete(id)
+    }
+    for (const entry of entries) {
+      const record = this._records.get(entry.id)
+      if (record) record.update(entry, now)
+      else this._records.set(entry.id, new ServerRecord(entry, now))
+    }
+    this._serve(now)
+  }
+
+  /** Takes a request; it is granted a server, refused, or waits. */
+  place (request: PlacementRequest, now: number): void {
+    if (request.purpose === 'first') {
+      this._budget.request(now)
+      if (request.targetAt > now) this._arrivals.add(now)
+    } else if (!this._budget.allows(this._options.share(), now)) {
+      return this._refuse(request, 'budget', now)
+    }
+    const late = !this._meetsTarget(request, now)
+    const reason = this._unservable(request, late, now)
+    if (reason) return this._refuse(request, reason, now)
+    this._line.add({ request, since: now, measuredBy: 0, rounds: 0, late })
+    this._serve(now)
+  }
+
+  /** Whether a request waits here. */
+  holds (id: string): boolean {
+    return this._line.find(id) !== undefined
+  }
+
+  /** Nobody waits for the request any more. */
+  withdraw (id: string): void {
+    this._line.remove(id)
+  }
+
+  /** An entry tells of what it sent by itself, or under another scheduler. */
+  adopt (request: PlacementRequest, server: string, expectedMs: number, now: number): void {
+    const record = this._records.get(server)
+    if (!record || record.outstanding.has(request.id)) return
+    record.sent(request.id, { sentAt: now, expectedAt: now + expectedMs, deadlineAt: request.deadlineAt, pace: 1, full: false })
+  }
+
+  /** What became of a grant. */
+  report (id: string, server: string, route: string, report: AttemptReport, now: number): void {
+    const record = this._records.get(server)
+    if (!record) return
+    const outstanding = record.ended(id, report, now)
+    if (report.load) this.work.notePace(report.load.pace)
+    if (outstanding && report.outcome === 'answered') {
+      const fullAtEnd = report.load !== undefined && report.load.running + 1 >= report.load.slots
+      this.work.note(route, report.tookMs, { ...outstanding, fullAtEnd })
+    }
+    this._serve(now)
+  }
+
+  /** A probe ended; without an answer the server is silent. */
+  probed (server: string, answer: ProbeAnswer | undefined, now: number): void {
+    const record = this._records.get(server)
+    if (!record) return
+    const sentAt = record.probedAt ?? now
+    if (answer) {
+      record.answered(answer, (sentAt + now) / 2)
+      if (answer.load) this.work.notePace(answer.load.pace)
+    } else {
+      record.unanswered(now)
+    }
+    this._serve(now)
+  }
+
+  /** Time has passed. */
+  tick (now: number): void {
+    for (const record of this._records.values()) {
+      if (record.isDueAgain(now)) this._probe(record, now)
+    }
+    this._review(now)
+    this._serve(now)
+  }
+
+  private _serve (now: number): void {
+    if (this._line.length === 0) return
+    const circumstances = this._circumstances()
+    let behind = 0
+    for (const waiting of this._line.all()) {
+      const candidates = this._candidates(waiting.request, circumstances, now)
+      if (candidates.length === 0) {
+        if (waiting.request.purpose === 'hedge') this._drop(waiting, 'overload', now)
+        behind += 1
+        continue
+      }
+      if (this._isMeasuring(waiting, candidates, now)) {
+        behind += 1
+        continue
+      }
+      const best = candidates[0]!
+      if (waiting.request.purpose === 'hedge' && (best.full || best.pace > HEDGE_PACE)) {
+        this._drop(waiting, 'overload', now)
+      } else if (this._isWorthWaiting(waiting, best, behind, now)) {
+        behind += 1
+      } else {
+        this._grant(waiting, best, now)
+      }
+    }
+  }
+
+  /** Servers with room, the cheapest first. */
+  private _candidates (request: PlacementRequest, circumstances: Circumstances, now: number): Candidate[] {
+    const found: Candidate[] = []
+    for (const record of this._records.values()) {
+      if (record.reach === 'silent' || record.moved) continue
+      const candidate = candidateOf(record, request, circumstances, now)
+      if (candidate) found.push(candidate)
+    }
+    return found.sort((a, b) => a.costMs - b.costMs || a.record.lastUsedAt - b.record.lastUsedAt)
+  }
+
+  /** Has loads read while the best candidate's is not known. Returns whether readings are awaited. */
+  private _isMeasuring (waiting: Waiting, candidates: Candidate[], now: number): boolean {
+    const readings = this._options.readings ?? READINGS
+    if (readings === 0) return false
+    if (now < waiting.measuredBy && candidates.some(({ record }) => record.probedAt !== undefined)) return true
+    if (waiting.rounds >= MOST_ROUNDS || candidates[0]!.fresh) return false
+    const unread = candidates.filter(({ fresh, record }) => !fresh && record.probedAt === undefined).slice(0, readings)
+    if (unread.length === 0) return false
+    waiting.rounds += 1
+    waiting.measuredBy = now + MEASURE_MS
+    for (const { record } of unread) this._probe(record, now)
+    return true
+  }
+
+  /** Whether a server that is about to become free is better than the best that is free now. */
+  private _isWorthWaiting (waiting: Waiting, best: Candidate, behind: number, now: number): boolean {
+    const base = this.work.baseMs(waiting.request.route, waiting.request.targetMs)
+    if (best.costMs <= base * WAIT_FACTOR) return false
+    const ends: number[] = []
+    for (const record of this._records.values()) {
+      if (record.reach === 'silent' || record.outstanding.size === 0 || record.isCold(now)) continue
+      const pace = expectedPace(record, this.work.meanPace, now)
+      ends.push(record.nextEndMs(now) + this.work.stretched(base, pace))
+    }
+    ends.sort((a, b) => a - b)
+    const other = ends[behind]
+    return other !== undefined && other * WAIT_FACTOR < best.costMs && now + other + DEADLINE_MARGIN_MS < waiting.request.deadlineAt
+  }
+
+  private _grant (waiting: Waiting, { record, finishMs, full, pace }: Candidate, now: number): void {
+    const { request } = waiting
+    this._line.remove(request.id)
+    if (request.purpose !== 'first') this._budget.spend(now)
+    if (record.isCold(now)) record.cold.spend(now)
+    record.sent(request.id, { sentAt: now, expectedAt: now + finishMs, deadlineAt: request.deadlineAt, pace, full })
+    this._options.listener.granted({ request, server: record.entry, expectedMs: finishMs })
+  }
+
+  /** Refuses those that cannot be served in time any more, and those that only could while others stay away. */
+  private _review (now: number): void {
+    for (const waiting of this._line.all()) {
+      const { request } = waiting
+      if (!waiting.late && !this._meetsTarget(request, now)) this._line.turnLate(waiting)
+      const reason = this._unservable(request, waiting.late, now)
+      if (reason) this._drop(waiting, reason, now)
+    }
+  }
+
+  private _meetsTarget (request: PlacementRequest, now: number): boolean {
+    return now + this.work.baseMs(request.route, request.targetMs) <= request.targetAt
+  }
+
+  /** Why a request cannot be served, if it cannot. */
+  private _unservable (request: PlacementRequest, late: boolean, now: number): RefusalReason | undefined {
+    const base = this.work.baseMs(request.route, request.targetMs)
+    if (now + Math.min(base, request.targetMs * 0.5) + DEADLINE_MARGIN_MS > request.deadlineAt) return 'deadline'
+    const rate = this._serviceRate(base, now)
+    if (rate === 0) return this._mayComeBack(now) ? undefined : 'no-server'
+    const waitMs = this._line.ahead(request, late) / rate
+    if (!late && now + waitMs + base <= request.targetAt) return undefined
+    const spare = rate - this._arrivals.total(now) / RATE_WINDOW_MS
+    if (spare <= rate * (1 - OVERLOAD)) return 'overload'
+    return now + this._line.ahead(request, true) / spare + base + DEADLINE_MARGIN_MS > request.deadlineAt ? 'overload' : undefined
+  }
+
+  /** Whether some server may be found well within a moment. */
+  private _mayComeBack (now: number): boolean {
+    for (const record of this._records.values()) {
+      if (record.reach === 'unknown' || record.probedAt !== undefined || record.isCold(now)) return true
+    }
+    return false
+  }
+
+  /** Requests a millisecond that the servers bear. */
+  private _serviceRate (base: number, now: number): number {
+    let rate = 0
+    for (const record of this._records.values()) {
+      if (record.reach === 'silent' || record.moved) continue
+      if (record.isCold(now)) rate += this._options.cold.perSecond * this._options.share() / 1000
+      else rate += this._slotRate(record, base)
+    }
+    return rate
+  }
+
+  private _slotRate (record: ServerRecord, base: number): number {
+    const useful = this.work.usefulSlots(record.slots)
+    const ratio = useful === record.slots && useful > 1 ? this.work.fullRatio : 1
+    return useful / (base * ratio * this.work.meanPace)
+  }
+
+  private _drop (waiting: Waiting, reason: RefusalReason, now: number): void {
+    this._line.remove(waiting.request.id)
+    this._refuse(waiting.request, reason, now)
+  }
+
+  private _refuse (request: PlacementRequest, reason: RefusalReason, now: number): void {
+    this._options.listener.refused({ request, reason, retryAfterMs: this._retryAfterMs(request, reason, now) })
+  }
+
+  private _retryAfterMs (request: PlacementRequest, reason: RefusalReason, now: number): number {
+    if (reason === 'no-server') return NO_SERVER_RETRY_AFTER_MS
+    if (reason !== 'overload') return SHORTEST_RETRY_AFTER_MS
+    const rate = this._serviceRate(this.work.baseMs(request.route, request.targetMs), now)
+    return Math.max(SHORTEST_RETRY_AFTER_MS, rate === 0 ? NO_SERVER_RETRY_AFTER_MS : this._line.length / rate)
+  }
+
+  private _probe (record: ServerRecord, now: number): void {
+    record.probedAt = now
+    this._options.listener.probe(record.entry)
+  }
+
+  private _circumstances (): Circumstances {
+    const { cold, share } = this._options
+    return { work: this.work, cold, share: share(), freshMs: FRESH_MS }
+  }
+}
--- /dev/null
+++ b/packages/core/src/placement/waitingLine.ts
@@ -0,0 +1,70 @@
+/** Requests that wait for a server, in the order in which they are served. */
+import type { PlacementRequest } from './placementRequest.js'
+
+/** A request in the line. */
+export interface Waiting {
+  request: PlacementRequest
+  since: number
+  /** Until then it waits for load readings. */
+  measuredBy: number
+  /** How often loads were read for it. */
+  rounds: number
+  /** Whether its target cannot be met any more. */
+  late: boolean
+}
+
+/** In time before late, then by priority, then by target. */
+export class WaitingLine {
+  private readonly _waiting: Waiting[] = []
+
+  get length (): number {
+    return this._waiting.length
+  }
+
+  /** How many would be served before a request. */
+  ahead (request: PlacementRequest, late: boolean): number {
+    return this._position(request, late)
+  }
+
+  add (waiting: Waiting): void {
+    this._waiting.splice(this._position(waiting.request, waiting.late), 0, waiting)
+  }
+
+  remove (id: string): Waiting | undefined {
+    const index = this._waiting.findIndex((waiting) => waiting.request.id === id)
+    return index < 0 ? undefined : this._waiting.splice(index, 1)[0]
+  }
+
+  find (id: string): Waiting | undefined {
+    return this._waiting.find((waiting) => waiting.request.id === id)
+  }
+
+  /** Puts a request behind those that are in time. */
+  turnLate (waiting: Waiting): void {
+    if (waiting.late || !this.remove(waiting.request.id)) return
+    waiting.late = true
+    this.add(waiting)
+  }
+
+  /** All that wait, in order; the list may be changed meanwhile. */
+  all (): Waiting[] {
+    return [...this._waiting]
+  }
+
+  private _position (request: PlacementRequest, late: boolean): number {
+    let low = 0
+    let high = this._waiting.length
+    while (low < high) {
+      const middle = (low + high) >> 1
+      if (goesBefore(this._waiting[middle]!, request, late)) low = middle + 1
+      else high = middle
+    }
+    return low
+  }
+}
+
+function goesBefore (waiting: Waiting, request: PlacementRequest, late: boolean): boolean {
+  if (waiting.late !== late) return !waiting.late
+  if (waiting.request.priority !== request.priority) return waiting.request.priority < request.priority
+  return waiting.request.targetAt <= request.targetAt
+}
--- /dev/null
+++ b/packages/core/src/placing.ts
@@ -0,0 +1,13 @@
+/** Placement, beside what it replaces. */
+export * from './budgets/coldAllowance.js'
+export * from './budgets/retryBudget.js'
+export * from './budgets/slidingCount.js'
+export * from './discovery/serverEntry.js'
+export * from './placement/candidates.js'
+export * from './placement/loadReading.js'
+export * from './placement/placementRequest.js'
+export * from './placement/scheduler.js'
+export * from './placement/serverRecord.js'
+export * from './placement/waitingLine.js'
+export * from './placement/workEstimate.js'
+export { SeededRandom, type Random } from './random.js'
--- a/packages/laboratory/src/bin/measure.ts
+++ b/packages/laboratory/src/bin/measure.ts
@@ -1,8 +1,9 @@
 #!/usr/bin/env node
-/** `npm run measure -- decisions|path|capacity`: figures, a summary line, and 1 when a target was missed. */
+/** `npm run measure -- decisions|placing|path|capacity`: figures, a summary line, and 1 when a target was missed. */
 import { Argument, Command } from 'commander'
 import { measureCapacity } from '../measure/capacity.js'
 import { measureDecisions } from '../measure/decisions.js'
+import { measurePlacing } from '../measure/placing.js'
 import { measurePath, type PathOptions } from '../measure/path.js'
 import type { Verdict } from '../measure/verdict.js'
 
@@ -13,7 +14,7 @@
 
 const program = new Command('measure')
   .description('Measures the decisions, the path of a call, or the slopes that capacity is worked out from.')
-  .addArgument(new Argument('<what>', 'what to measure').choices(['decisions', 'path', 'capacity']))
+  .addArgument(new Argument('<what>', 'what to measure').choices(['decisions', 'placing', 'path', 'capacity']))
   .option('--backend <url>', 'path: the backend server itself')
   .option('--bare <url>', 'path: the bare pass-through')
   .option('--bare-pid <pid>', 'path: its process', Number)
@@ -42,6 +43,7 @@
     if (!json) process.stdout.write(`${line}\n`)
   }
   switch (name) {
+    case 'placing': return measurePlacing(show)
     case 'path': return await measurePath(options, show)
     case 'capacity': return measureCapacity(options.points, show)
     default: return measureDecisions(show)
