--- a/packages/platform/src/httpClient.ts
+++ b/packages/store/src/httpClient.ts
@@ -2,9 +2,9 @@
 import { Agent, request, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { TokenBucket } from '@gooseberryspan/core'
-import { PlatformBudgetSpent, PlatformUnavailable } from './errors.js'
+import { StoreBudgetSpent, StoreUnavailable } from './errors.js'
 
-/** Where the platform is and how it may be used. */
+/** Where the store is and how it may be used. */
 export interface HttpClientOptions {
   /** For example `http://127.0.0.1:7000`. */
   url: string
@@ -22,7 +22,7 @@
 const BURST_FACTOR = 4
 const IDLE_MS = 30_000
 
-/** One connection pool to the platform. */
+/** One connection pool to the store. */
 export class HttpClient {
   /** Bytes on the wire both ways, headers included. */
   bytes = 0
@@ -38,14 +38,14 @@
     this._bucket = new TokenBucket(requestsPerSecond, requestsPerSecond * BURST_FACTOR, performance.now())
   }
 
-  /** Sends one request and reads the whole answer. */
-  send (method: string, path: string, body?: string): Promise<HttpAnswer> {
+  /** Sends one request and reads the whole answer. A connection that is silent for too long is closed and not used again. */
+  send (method: string, path: string, { body, extraMs = 0 }: { body?: string, extraMs?: number } = {}): Promise<HttpAnswer> {
     if (!this._bucket.take(performance.now())) {
-      return Promise.reject(new PlatformBudgetSpent('more than %d requests a second to the platform', this._options.requestsPerSecond))
+      return Promise.reject(new StoreBudgetSpent('more than %d requests a second to the store', this._options.requestsPerSecond))
     }
     this.requests += 1
     return new Promise((resolve, reject) => {
-      const fail = (error: Error): void => reject(new PlatformUnavailable(error, '%s %s', method, path))
+      const fail = (error: Error): void => reject(new StoreUnavailable(error, '%s %s', method, path))
       const headers = body === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }
       const call = request(new URL(path, this._options.url), { method, agent: this._agent, headers }, (answer) => {
         const { socket } = answer
@@ -55,7 +55,8 @@
           resolve({ status: answer.statusCode ?? 0, text })
         })
       })
-      const timer = setTimeout(() => call.destroy(new Error(`no answer within ${this._options.timeoutMs} ms`)), this._options.timeoutMs)
+      const timeoutMs = this._options.timeoutMs + extraMs
+      const timer = setTimeout(() => call.destroy(new Error(`no answer within ${timeoutMs} ms`)), timeoutMs)
       call.on('error', (error) => {
         clearTimeout(timer)
         fail(error)
--- /dev/null
+++ b/packages/store/src/index.ts
@@ -0,0 +1,9 @@
+/** The platform's store and its clients. */
+export * from './configurationStore.js'
+export * from './errors.js'
+export * from './httpClient.js'
+export * from './httpStore.js'
+export * from './ownProtocol.js'
+export * from './ownRows.js'
+export * from './protocol.js'
+export * from './store.js'
--- a/utils/mutations.mjs
+++ b/utils/mutations.mjs
@@ -16,36 +16,45 @@
 
 const only = process.argv[2]
 const MUTATIONS = [
-  ['slot-limit', 'limits/backendServer.js', 'return Math.max(0, this._limit - this.occupied(now));', 'return Math.max(0, this._limit + 1 - this.occupied(now));'],
-  ['slot-limit', 'limits/backendServer.js', 'const SETTLE_MS = 10;', 'const SETTLE_MS = 0;', [], 'should keep the slot of a request'],
-  ['cold-limit', 'limits/backendServer.js', 'this._limit = Math.max(1, report.capacity);', '', [
-    ['limits/backendServer.js', 'report.epoch !== this._epoch)', 'false)'], ['limits/backendServer.js', 'this._turnCold(now);\n        this._pause', 'this._pause']
+  ['cold-limit', 'placement/candidates.js', 'if (cold && !record.cold.allows(circumstances.cold, circumstances.share, now))', 'if (false)', [
+    ['placement/candidates.js', 'cold || blame > DOUBTFUL_BLAME', 'false']
   ]],
-  ['one-holder', 'membership/lease.js', 'return now < this._validUntil;', 'return true;'],
-  ['one-holder', 'membership/watch.js', 'if (now - sighting.since < waitMs + this._times.marginMs)', 'if (now - sighting.since < 200)'],
-  ['one-holder', 'membership/ownership.js', 'if (!hasIncarnation(membership.view, owner.instance, owner.incarnation))', 'if (owner)'],
-  ['one-holder', 'membership/consent.js', 'watch.promise(from.instance, now + times.termMs);', ';'],
-  ['zone-out', 'configuration/revisions.js', "return this._zones.get(name)?.state === 'in';", 'return true;'],
-  ['zone-out', 'configuration/spread.js', 'this._take([], document, now);\n    }\n    /** A peer asks', '}\n    /** A peer asks'],
-  ['leaving-server', 'holdings.js', "if (server.state !== 'live' || !this._options.revisions.zoneIsIn(server.zone))", 'if (!this._options.revisions.zoneIsIn(server.zone))', [
-    ['limits/backendServer.js', 'if (report.draining === true)', 'if (false)']
+  ['cold-limit', 'placement/candidates.js', '&& record.unchecked(now) <= mostUnchecked(circumstances)', '', [
+    ['placement/candidates.js', 'if (circumstances.asks && record.unchecked(now) > mostUnchecked(circumstances) + record.slots)', 'if (false)']
   ]],
-  ['measuring-budget', 'limits/tokenBucket.js', 'if (this._tokens < 1)', 'if (false)'],
-  ['not-run-truth', 'routing/router.js', "request.ambiguous || request.open.length > 0 ? 'unknown' : 'not-run'", "'not-run'"],
-  ['at-most-once', 'routing/router.js', 'return request.idempotent && !request.retrySpent;', 'return true;'],
-  ['not-run-truth', 'routing/request.js', 'ambiguous: !spec.idempotent && spec.idempotencyKey !== undefined', 'ambiguous: false'],
-  ['at-most-once', 'retries/claims.js', "if (result === 'duplicate')\n            return false;", ''],
-  ['one-answer', 'routing/router.js', 'if (this._requests.has(request.id))\n            this._settle', 'this._settle', [
-    ['routing/router.js', "this._finish(request, 'answered');\n        for (const open of [...request.open])\n            this._cancel(open, now);", "this._finish(request, 'answered');"]
+  ['cold-limit', 'placement/schedulerHost.js', 'return 1 / (2 * roster.most);', 'return 1;', [
+    ['placement/schedulerHost.js', 'const SCHEDULER_SHARE = 0.33', 'const SCHEDULER_SHARE = 1.5']
   ]],
-  ['no-revert', 'configuration/revisions.js', 'if (!this._current || change.revision !== this.revision + 1)', 'if (!this._current)',
-    [], 'should take late and doubled changes'],
-  ['one-holder', 'membership/watch.js', 'return !this._evicting.has(instance);', 'return true;', [], 'should not promise while its own eviction'],
-  ['one-holder', 'membership/view.js', 'watchersOf(view.members, watched)', '[]', [], 'should give consent only together'],
-  ['in-force-everywhere', 'configuration/spread.js', 'if (revision > this._options.revisions.revision && !this._reading)', 'if (false)', [
-    ['configuration/spread.js', 'const behind = has.revision > revisions.revision ||', 'const behind =']
+  ['retry-budget', 'budgets/retryBudget.js', 'return this._spent.total(now) + 1 <= this._allowed(share, now);', 'return true;', [
+    ['requests/requestDesk.js', 'const HEDGE_FACTOR = 1.3', 'const HEDGE_FACTOR = 0.2']
   ]],
-  ['stop-cuts-nothing', 'entryCore.js', "this.membership.phase === 'left' && this.router.open === 0", "this.membership.phase === 'left'"]
+  ['zone-out', 'configuration/declarations.js', 'return !this._evacuated.has(zone) && !(this._gateway?.zonesOut.includes(zone) ?? false);', 'return true;'],
+  ['leaving-server', 'discovery/catalog.js', "entry.state === 'ready' && ", '', [
+    ['requests/requestDesk.js', "if (catalog.get(server.id)?.state === 'draining')\n            return 'draining';", '']
+  ]],
+  ['leaving-server', 'store/storeWatch.js', 'rank === 0 || now - reader.replica.confirmedAt > TAKEOVER_MS + stepsMs', 'rank === 0', [
+    ['members/roster.js', 'const SUSPECT_AFTER_MS = 350', 'const SUSPECT_AFTER_MS = 5000']
+  ]],
+  ['not-run-truth', 'requests/requestDesk.js', "mayHaveRun ? 'unknown' : 'not-run'", "'not-run'"],
+  ['at-most-once', 'requests/requestDesk.js', 'if (request.mayHaveRun && (!route.repeatable || retrySpent))', 'if (false)', [
+    ['requests/requestDesk.js', "if (!request.spec.route.repeatable && request.mayHaveRun)\n            return 'may-have-run';", '']
+  ]],
+  ['one-answer', 'requests/requestDesk.js', 'this._close(request, now);\n        this._options.outbox.log({\n            decision: \'answered\'', 'this._options.outbox.log({\n            decision: \'answered\''],
+  ['no-revert', 'configuration/declarations.js', 'if (gateway.revision <= this.revision)', 'if (false)', [
+    ['store/replica.js', 'if (this._version !== undefined && version < this._version)\n            return [];', ''],
+    ['store/replica.js', 'if (row.version <= known)\n            return;', '']
+  ], 'should never go back to an older gateway'],
+  ['in-force-everywhere', 'store/storeWatch.js', 'this._tellRows(table, reader.replica, before, changed);', '', [
+    ['store/storeWatch.js', 'if (behind)', 'if (false)'],
+    ['store/storeWatch.js', 'rank === 0 || now - reader.replica.confirmedAt > TAKEOVER_MS + stepsMs', 'rank === 0']
+  ]],
+  ['one-membership', 'members/joining.js', 'if (!known.has(', 'if (false && known.has(', [
+    ['entryCore.js', 'if (this._namedAt > -Infinity)', 'if (false)']
+  ]],
+  ['one-membership', 'members/roster.js', 'this._self = { ...this._self, sequence: news.member.sequence };\n        this._restate({});', ''],
+  ['lapsed-registration', 'discovery/catalog.js', "if (change.unreadable || listed.entry.state === 'draining' || now >= returnBy)", 'if (true)', [],
+    'should keep servers whose registrations lapsed'],
+  ['stop-cuts-nothing', 'entryCore.js', 'this.desk.open > 0 || ', '']
 ]
 
 let missed = 0
