--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -91,7 +91,7 @@
       roster,
       roles,
       outbox,
-      isSeed: seeds.some(({ host, port }) => host === identity.host && port === identity.peerPort),
+      isSeed: seeds.length === 0 || seeds.some(({ host, port }) => host === identity.host && port === identity.peerPort),
       changed: (table, rows, now) => ledger.apply(table, rows, now),
       returned: (now) => catalog.storeReturned(now)
     })
--- a/packages/entry/src/backend/backendClient.ts
+++ b/packages/entry/src/backend/backendClient.ts
@@ -46,12 +46,13 @@
   dispatch (effect: DispatchEffect, exchange: Exchange, listener: AttemptListener): void {
     const startedAt = this._options.now()
     let load: LoadReport | undefined
-    let answered = false
+    let answer: IncomingMessage | undefined
     let ended = false
-    const end = (outcome: AttemptOutcome, status?: number): void => {
+    const end = (outcome: AttemptOutcome, status?: number, whole?: Answer): void => {
       if (ended) return
       ended = true
       this._calls.delete(effect.attempt)
+      if (whole) listener.whole(whole)
       listener.ended({ outcome, tookMs: this._options.now() - startedAt, load }, status)
     }
     const call = request({
@@ -66,15 +67,18 @@
     this._calls.set(effect.attempt, call)
     const connection = watchConnection(call, this._options.connectMs)
     call.on('response', (message) => {
-      answered = true
+      answer = message
       load = this._loadOf(message)
       this._take(message, call, exchange, listener, end)
     })
-    const broken = (): void => {
-      if (!answered) end(connection.made() ? 'lost' : 'unreachable')
-    }
-    call.on('error', broken)
-    call.on('close', broken)
+    call.on('error', () => {
+      if (!answer) end(connection.made() ? 'lost' : 'unreachable')
+      // An answer without a length would count as complete once its connection is reset.
+      else if (!answer.complete) end('lost', answer.statusCode)
+    })
+    call.on('close', () => {
+      if (!answer) end(connection.made() ? 'lost' : 'unreachable')
+    })
     send(call, exchange)
   }
 
@@ -95,7 +99,7 @@
 
   private _take (
     message: IncomingMessage, call: ClientRequest, exchange: Exchange, listener: AttemptListener,
-    end: (outcome: AttemptOutcome, status?: number) => void
+    end: (outcome: AttemptOutcome, status?: number, whole?: Answer) => void
   ): void {
     const status = message.statusCode ?? 0
     const refusal = this._refusalOf(message, status)
@@ -107,10 +111,7 @@
     const outcome = this._outcomeOf(message, exchange, status)
     if (outcome === 'lost') return drop(message, call, () => end('lost', status))
     readAnswer(message, this._options.holdBytes, {
-      whole: (answer) => {
-        listener.whole(answer)
-        end(outcome, status)
-      },
+      whole: (answer) => end(outcome, status, answer),
       large: (answer) => listener.large(answer, (whole) => end(whole ? outcome : 'lost', status)),
       broken: () => {
         call.destroy()
--- a/packages/entry/src/peers/peerClient.ts
+++ b/packages/entry/src/peers/peerClient.ts
@@ -2,6 +2,7 @@
 import { createTRPCClient, httpLink } from '@trpc/client'
 import type { PeerState, PeerStateQuery } from '@gooseberryspan/core'
 import { peerStateSchema, type PeerRouter } from './peerRouter.js'
+import { plainFetch } from './plainFetch.js'
 import { PEER_PATH, TOKEN_HEADER } from './peerServer.js'
 
 /** How entries are asked. */
@@ -28,7 +29,7 @@
     this.pulls += 1
     const { token, timeoutMs } = this._options
     const headers = token === undefined ? {} : { [TOKEN_HEADER]: token }
-    const client = createTRPCClient<PeerRouter>({ links: [httpLink({ url, headers })] })
+    const client = createTRPCClient<PeerRouter>({ links: [httpLink({ url, headers, fetch: plainFetch as never })] })
     try {
       return peerStateSchema.parse(await client.state.query(query, { signal: AbortSignal.timeout(timeoutMs) }))
     } catch {
--- a/packages/standins/src/backend/backendServer.ts
+++ b/packages/standins/src/backend/backendServer.ts
@@ -35,6 +35,8 @@
   | 'foreign'
   /** It has no length and ends with the connection. */
   | 'unframed'
+  /** The same, but the connection is reset in the middle. */
+  | 'unframed-reset'
   /** It is not HTTP. */
   | 'garbage'
   /** The connection is reset after the work is done. */
@@ -69,6 +71,8 @@
 
 const HEADER = 'gooseberryspan'
 const COLD_STRETCH = 2
+/** The first half of an answer has arrived by then, in milliseconds. */
+const RESET_MS = 20
 const COLD_WINDOW_MS = 1000
 
 /** One listening backend server. */
@@ -237,10 +241,13 @@
       case 'reset': return void socket.resetAndDestroy()
       case 'garbage': return void socket.end('this is no answer\r\n\r\n')
       case 'unframed':
+      case 'unframed-reset':
         response.setHeader('connection', 'close')
         response.useChunkedEncodingByDefault = false
         response.removeHeader('content-length')
-        return void response.end(text)
+        if (spoil === 'unframed') return void response.end(text)
+        response.write(text.slice(0, text.length >> 1))
+        return void setTimeout(() => socket.resetAndDestroy(), RESET_MS)
       case 'truncate':
         response.setHeader('content-length', Buffer.byteLength(text))
         response.write(text.slice(0, text.length >> 1))
