Tell a reset from an end when both arrive together

Change: a socket that has ended and no longer has a remote address was reset; its answer is lost. A stand-in that resets at once is in the specs, which failed first.

--- a/packages/entry/src/backend/backendClient.ts
+++ b/packages/entry/src/backend/backendClient.ts
@@ -1,5 +1,6 @@
 /** Requests to backend servers over Node's http. */
 import { request, type ClientRequest, type IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
 import type { AttemptOutcome, AttemptReport, DispatchEffect, LoadReport, ServerEntry } from '@gooseberryspan/core'
 import type { Exchange } from '../caller/exchange.js'
 import type { Dialect } from '../dialect.js'
@@ -69,11 +70,12 @@
     call.on('response', (message) => {
       answer = message
       load = this._loadOf(message)
+      if (endsWithConnection(message)) onReset(message.socket, () => end('lost', message.statusCode))
       this._take(message, call, exchange, listener, end)
     })
     call.on('error', () => {
       if (!answer) end(connection.made() ? 'lost' : 'unreachable')
-      // An answer without a length would count as complete once its connection is reset.
+      // An answer that ends with its connection would count as complete once that is reset.
       else if (!answer.complete) end('lost', answer.statusCode)
     })
     call.on('close', () => {
@@ -202,6 +204,21 @@
   return { made: () => made }
 }
 
+/** Whether an answer has neither a length nor chunks. */
+function endsWithConnection ({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+}
+
+/**
+ * Tells when a connection was reset though it seems to have ended: where the last bytes and the reset arrive together, libuv reports
+ * an end only. A socket that was reset has no peer any more.
+ */
+function onReset (socket: Socket, reset: () => void): void {
+  socket.prependOnceListener('end', () => {
+    if (socket.remoteAddress === undefined) reset()
+  })
+}
+
 /** Reads an answer that nobody needs to its end, so that its connection can be used again. */
 function drop (message: IncomingMessage, call: ClientRequest, done: () => void): void {
   message.resume()
--- a/packages/standins/src/backend/backendServer.ts
+++ b/packages/standins/src/backend/backendServer.ts
@@ -35,8 +35,9 @@
   | 'foreign'
   /** It has no length and ends with the connection. */
   | 'unframed'
-  /** The same, but the connection is reset in the middle. */
+  /** The same, but the connection is reset in the middle: a little later, or together with what was sent. */
   | 'unframed-reset'
+  | 'unframed-reset-at-once'
   /** It is not HTTP. */
   | 'garbage'
   /** The connection is reset after the work is done. */
@@ -242,12 +243,16 @@
       case 'garbage': return void socket.end('this is no answer\r\n\r\n')
       case 'unframed':
       case 'unframed-reset':
+      case 'unframed-reset-at-once':
         response.setHeader('connection', 'close')
         response.useChunkedEncodingByDefault = false
         response.removeHeader('content-length')
         if (spoil === 'unframed') return void response.end(text)
-        response.write(text.slice(0, text.length >> 1))
-        return void setTimeout(() => socket.resetAndDestroy(), RESET_MS)
+        response.write(text.slice(0, text.length >> 1), () => {
+          if (spoil === 'unframed-reset') setTimeout(() => socket.resetAndDestroy(), RESET_MS)
+          else socket.resetAndDestroy()
+        })
+        return
       case 'truncate':
         response.setHeader('content-length', Buffer.byteLength(text))
         response.write(text.slice(0, text.length >> 1))
--- a/tests/entry.spec.ts
+++ b/tests/entry.spec.ts
@@ -101,7 +101,7 @@
     expect(await ended).to.include('"bytes":11')
   })
 
-  for (const spoil of ['truncate', 'foreign', 'garbage', 'reset', 'unframed-reset'] as Spoil[]) {
+  for (const spoil of ['truncate', 'foreign', 'garbage', 'reset', 'unframed-reset', 'unframed-reset-at-once'] as Spoil[]) {
     it(`should say "unknown" of an order whose answer is spoiled (${spoil}), and run it once`, async () => {
       await deployment.start(smallDocument(), [{}, {}], ['a'])
       for (const backend of deployment.backends) backend.faults.spoil = spoil
