Serve the newest first where servers are short, and refuse within an eighth of the target

Cause: in a crowd every request waited until its target was nearly over, so a slow spell made most of them late; late requests took servers that others could have used in time; a server that others had filled counted as full until an answer came from it. Change: newest first among equals; the last of a line that is longer than servers can do within a quarter of the target is refused at once, the others within an eighth; a late request gets a server only where nothing in time could use it; an occupied server is read again after 100 ms; six loads are read instead of four.

--- a/packages/core/src/placement/scheduler.ts
+++ b/packages/core/src/placement/scheduler.ts
@@ -33,10 +33,14 @@
 const FRESH_MS = 20
 /** Longest wait for a load reading before a placement, in milliseconds: a way between zones and back, and some. */
 const MEASURE_MS = 6
-const READINGS = 4
+const READINGS = 6
 const MOST_ROUNDS = 2
 /** Waiting for a server to become free must be better than a free one by this factor. */
 const WAIT_FACTOR = 1.15
+/** Part of its target for which a request waits where servers are short; its caller may do better by coming back. */
+const PATIENCE = 0.125
+/** Part of its target that a request may be away from a server where servers are short; what is further away is refused at once. */
+const LINE_PART = 0.25
 /** Load from which late requests find no room, as a share of what the servers bear. */
 const OVERLOAD = 0.95
 const RATE_WINDOW_MS = 500
@@ -93,11 +97,12 @@
     } else if (isFurther(request.purpose) && !this._budget.allows(this._options.share(), now)) {
       return this._refuse(request, 'budget', now)
     }
-    const late = !this._meetsTarget(request, now)
-    const reason = this._unservable(request, late, now)
+    const reason = this._unservable(request, now)
     if (reason) return this._refuse(request, reason, now)
+    const late = !this._isInTime(request, now)
     this._line.add({ request, since: now, measuredBy: 0, rounds: 0, late })
     this._serve(now)
+    this._shorten(now)
   }
 
   /** Whether a request waits here. */
@@ -146,8 +151,9 @@
 
   /** Time has passed. */
   tick (now: number): void {
+    const asked = this._line.length > 0 || this._arrivals.total(now) > 0
     for (const record of this._records.values()) {
-      if (record.isDueAgain(now)) this._probe(record, now)
+      if (record.isDueAgain(now) || (asked && record.isHearsay(now))) this._probe(record, now)
     }
     this._review(now)
     this._serve(now)
@@ -168,7 +174,11 @@
         behind += 1
         continue
       }
-      const best = candidates[0]!
+      const best = this._suited(waiting, candidates, now)
+      if (!best) {
+        behind += 1
+        continue
+      }
       if (waiting.request.purpose === 'hedge' && (best.full || best.pace > HEDGE_PACE)) {
         this._drop(waiting, 'overload', now)
       } else if (this._isWorthWaiting(waiting, best, behind, now)) {
@@ -190,6 +200,19 @@
     return found.sort((a, b) => a.costMs - b.costMs || a.record.lastUsedAt - b.record.lastUsedAt)
   }
 
+  /** The candidate that a request should have. Where servers are short, a late one gets only what is too slow for those in time. */
+  private _suited ({ request, late }: Waiting, candidates: Candidate[], now: number): Candidate | undefined {
+    if (!late || !this._isShort(request, now)) return candidates[0]
+    const inTime = (finishMs: number): boolean => now + finishMs + DEADLINE_MARGIN_MS < request.deadlineAt
+    return candidates.find(({ finishMs }) => finishMs > request.targetMs && inTime(finishMs))
+  }
+
+  /** Whether as much comes in as the servers bear. */
+  private _isShort (request: PlacementRequest, now: number): boolean {
+    const rate = this._serviceRate(this.work.baseMs(request.route, request.targetMs), now)
+    return rate * OVERLOAD <= this._arrivals.total(now) / RATE_WINDOW_MS
+  }
+
   /** Has loads read while the best candidate's is not known. Returns whether readings are awaited. */
   private _isMeasuring (waiting: Waiting, candidates: Candidate[], now: number): boolean {
     const readings = this._options.readings ?? READINGS
@@ -207,7 +230,7 @@
   /** Whether a server that is about to become free is better than the best that is free now. */
   private _isWorthWaiting (waiting: Waiting, best: Candidate, behind: number, now: number): boolean {
     const base = this.work.baseMs(waiting.request.route, waiting.request.targetMs)
-    if (best.costMs <= base * WAIT_FACTOR) return false
+    if (waiting.late || best.costMs <= base * WAIT_FACTOR) return false
     const ends: number[] = []
     for (const record of this._records.values()) {
       if (record.reach === 'silent' || record.outstanding.size === 0 || record.isCold(now)) continue
@@ -232,28 +255,53 @@
   private _review (now: number): void {
     for (const waiting of this._line.all()) {
       const { request } = waiting
-      if (!waiting.late && !this._meetsTarget(request, now)) this._line.turnLate(waiting)
-      const reason = this._unservable(request, waiting.late, now)
+      if (!waiting.late && !this._meetsTarget(request, now)) this._line.turn(waiting, true)
+      else if (waiting.late && this._isInTime(request, now)) this._line.turn(waiting, false)
+      const reason = this._unservable(request, now) ?? (this._isHopeless(waiting, now) ? 'overload' : undefined)
       if (reason) this._drop(waiting, reason, now)
     }
   }
 
+  /** Refuses the last of the line at once where servers are short and those before them take all that the servers can do for a while. */
+  private _shorten (now: number): void {
+    for (let last = this._line.last; last && this._isShort(last.request, now); last = this._line.last) {
+      const { request } = last
+      const rate = this._serviceRate(this.work.baseMs(request.route, request.targetMs), now)
+      if (this._line.length - 1 <= rate * request.targetMs * LINE_PART) return
+      this._drop(last, 'overload', now)
+    }
+  }
+
   private _meetsTarget (request: PlacementRequest, now: number): boolean {
     return now + this.work.baseMs(request.route, request.targetMs) <= request.targetAt
   }
 
-  /** Why a request cannot be served, if it cannot. */
-  private _unservable (request: PlacementRequest, late: boolean, now: number): RefusalReason | undefined {
+  /** Whether a request meets its target behind those that go before it. */
+  private _isInTime (request: PlacementRequest, now: number): boolean {
+    const base = this.work.baseMs(request.route, request.targetMs)
+    const rate = this._serviceRate(base, now)
+    const waitMs = rate === 0 ? 0 : this._line.ahead(request, false) / rate
+    return now + waitMs + base <= request.targetAt
+  }
+
+  /** Why a request cannot be served at all, if it cannot. */
+  private _unservable (request: PlacementRequest, now: number): RefusalReason | undefined {
     const base = this.work.baseMs(request.route, request.targetMs)
     if (now + Math.min(base, request.targetMs * 0.5) + DEADLINE_MARGIN_MS > request.deadlineAt) return 'deadline'
     if (this._isExhausted(request)) return 'no-server'
+    if (this._serviceRate(base, now) > 0 || this._mayComeBack(now)) return undefined
+    return 'no-server'
+  }
+
+  /** Whether a request has waited as long as it may, and servers are short or it comes too late behind the others. */
+  private _isHopeless ({ request, since, late }: Waiting, now: number): boolean {
+    if (now - since < request.targetMs * PATIENCE) return false
+    if (this._isShort(request, now)) return true
+    if (!late) return false
+    const base = this.work.baseMs(request.route, request.targetMs)
     const rate = this._serviceRate(base, now)
-    if (rate === 0) return this._mayComeBack(now) ? undefined : 'no-server'
-    const waitMs = this._line.ahead(request, late) / rate
-    if (!late && now + waitMs + base <= request.targetAt) return undefined
     const spare = rate - this._arrivals.total(now) / RATE_WINDOW_MS
-    if (spare <= rate * (1 - OVERLOAD)) return 'overload'
-    return now + this._line.ahead(request, true) / spare + base + DEADLINE_MARGIN_MS > request.deadlineAt ? 'overload' : undefined
+    return now + this._line.ahead(request, true) / spare + base + DEADLINE_MARGIN_MS > request.deadlineAt
   }
 
   /** Whether the request must not be sent to any server that there is. */
--- a/packages/core/src/placement/serverRecord.ts
+++ b/packages/core/src/placement/serverRecord.ts
@@ -33,6 +33,8 @@
 const LONGEST_SILENT_PAUSE_MS = 1000
 const SILENT_STRIKES = 2
 const OVERDUE_FACTOR = 3
+/** Work of others may have ended when it was last seen so long ago, in milliseconds: about one run. */
+const HEARSAY_MS = 100
 /** The span in which requests to a cold server are counted, in milliseconds. */
 const UNCHECKED_MS = 1000
 
@@ -108,6 +110,12 @@
     return Math.max(0, this._reading.running + this._reading.waiting + this._live(now, this._reading.at - TRANSIT_MS) - ended)
   }
 
+  /** Whether it counts as occupied by what this scheduler did not send, on a reading that no answer will renew. */
+  isHearsay (now: number): boolean {
+    if (this.probedAt !== undefined || this.age(now) < HEARSAY_MS) return false
+    return this.occupancy(now) > this._live(now, -Infinity)
+  }
+
   /** Notes that a request was granted this server. */
   sent (id: string, outstanding: Outstanding): void {
     this.outstanding.set(id, outstanding)
--- a/packages/core/src/placement/waitingLine.ts
+++ b/packages/core/src/placement/waitingLine.ts
@@ -13,7 +13,10 @@
   late: boolean
 }
 
-/** In time before late, then by priority, then by target. */
+/**
+ * In time before late, then by priority, then the newest first: where all come in time anyway the order matters little, and where
+ * servers are short, those that have just come are the ones that a slow server does not make late.
+ */
 export class WaitingLine {
   private readonly _waiting: Waiting[] = []
 
@@ -21,6 +24,11 @@
     return this._waiting.length
   }
 
+  /** The one that is served after all others. */
+  get last (): Waiting | undefined {
+    return this._waiting.at(-1)
+  }
+
   /** How many would be served before a request. */
   ahead (request: PlacementRequest, late: boolean): number {
     return this._position(request, late)
@@ -39,10 +47,10 @@
     return this._waiting.find((waiting) => waiting.request.id === id)
   }
 
-  /** Puts a request behind those that are in time. */
-  turnLate (waiting: Waiting): void {
-    if (waiting.late || !this.remove(waiting.request.id)) return
-    waiting.late = true
+  /** Puts a request behind those that are in time, or among them. */
+  turn (waiting: Waiting, late: boolean): void {
+    if (waiting.late === late || !this.remove(waiting.request.id)) return
+    waiting.late = late
     this.add(waiting)
   }
 
@@ -66,5 +74,5 @@
 function goesBefore (waiting: Waiting, request: PlacementRequest, late: boolean): boolean {
   if (waiting.late !== late) return !waiting.late
   if (waiting.request.priority !== request.priority) return waiting.request.priority < request.priority
-  return waiting.request.targetAt <= request.targetAt
+  return waiting.request.targetAt > request.targetAt
 }
--- a/packages/laboratory/src/placing/noisyBackend.ts
+++ b/packages/laboratory/src/placing/noisyBackend.ts
@@ -45,6 +45,7 @@
   private _coldUntil = -Infinity
   private _coldArrivals: number[] = []
   private _movedAt = 0
+  private _usualMs = 0
   private _plan = 0
 
   private readonly _traits: BackendTraits
@@ -99,6 +100,12 @@
     this._replan()
   }
 
+  /** How long it would have worked so far at its usual pace, in milliseconds: slow spells count for less. */
+  usualMs (): number {
+    this._advance()
+    return this._usualMs
+  }
+
   load (): LoadReport {
     return { running: this._running.length, waiting: this._waiting.length, slots: this._traits.slots, pace: this._spell * this.slowness }
   }
@@ -130,7 +137,9 @@
   }
 
   private _advance (): void {
-    const done = (this._time.now - this._movedAt) * this._rate
+    const passed = this._time.now - this._movedAt
+    const done = passed * this._rate
+    this._usualMs += passed / (this._spell * this.slowness)
     this._movedAt = this._time.now
     for (const running of this._running) running.leftMs -= done
   }
--- a/packages/laboratory/src/placing/placingModel.ts
+++ b/packages/laboratory/src/placing/placingModel.ts
@@ -28,8 +28,8 @@
   { name: 'each entry reads 5 loads', schedulers: 'entry', readings: 5, patienceMs: 0, forwards: false, hedges: false },
   { name: 'strict holders', schedulers: 'service', readings: 0, patienceMs: 4600, forwards: true, hedges: false },
   { name: 'grants without readings', schedulers: 'service', readings: 0, patienceMs: 30, forwards: false, hedges: false },
-  { name: 'grants after readings', schedulers: 'service', readings: 4, patienceMs: 30, forwards: false, hedges: false },
-  { name: 'grants after readings, hedged', schedulers: 'service', readings: 4, patienceMs: 30, forwards: false, hedges: true }
+  { name: 'grants after readings', schedulers: 'service', readings: 6, patienceMs: 30, forwards: false, hedges: false },
+  { name: 'grants after readings, hedged', schedulers: 'service', readings: 6, patienceMs: 30, forwards: false, hedges: true }
 ]
 
 interface Entry {
@@ -79,6 +79,8 @@
   private readonly _time = new VirtualTime()
   private readonly _random: SeededRandom
   private readonly _tally: TallySheet
+  private readonly _arrivals: Arrival[]
+  private readonly _usualMsInTrouble = new Map<string, number>()
   private readonly _entries: Entry[] = []
   private readonly _backends = new Map<string, NoisyBackend>()
   private readonly _servers = new Map<string, ServerEntry[]>()
@@ -91,6 +93,7 @@
   constructor (private readonly _plan: RunPlan, private readonly _way: Way) {
     this._random = new SeededRandom(_plan.seed + 1)
     this._tally = new TallySheet(_plan)
+    this._arrivals = drawArrivals(_plan)
     for (const [zone, count] of _plan.site.entries.entries()) {
       for (let index = 0; index < count; index++) this._entries.push({ index: this._entries.length, zone, frozenUntil: 0 })
     }
@@ -99,7 +102,8 @@
 
   run (): PlacingOutcome {
     this._arrangeTrouble()
-    for (const arrival of drawArrivals(this._plan)) {
+    this._watchCapacity()
+    for (const arrival of this._arrivals) {
       this._time.after(arrival.at, () => {
         this._tally.asked(arrival)
         this._arrive(arrival, arrival.at + arrival.kind.deadlineMs, 0)
@@ -154,20 +158,33 @@
     if (trouble === 'cold-zone') this._time.after(from, () => byZone('0').forEach((backend) => backend.turnCold(3000)))
   }
 
-  /** Answers a second that the reachable servers can give within the trouble's span, all slots in use. */
+  /** Answers a second that the reachable servers could give within the trouble's span at the paces that they had, all slots in use. */
   private _capacity (): number {
+    const [from, to] = troubleSpan(this._plan)
     let capacity = 0
     for (const service of this._plan.site.services) {
       const kind = this._plan.site.kinds.find((item) => item.service === service.name)!
-      const reachable = this._plan.trouble === 'heavy' ? service.servers[0]! : service.servers.reduce((a, b) => a + b, 0)
-      const { slots, slowShare, slowFactor, kneeFactor } = service.traits
-      const capable = reachable * slots / (kind.workMs * kneeFactor) * (1 - slowShare + slowShare / slowFactor) * 1000
-      const burst = this._plan.trouble === 'heavy' || this._plan.trouble === 'crowded' ? 2 : 1
-      capacity += Math.min(capable, kind.perSecond * this._plan.load * burst)
+      const { slots, kneeFactor } = service.traits
+      const usualMs = this._servers.get(service.name)!.reduce((total, { id }) => total + this._usualMsInTrouble.get(id)!, 0)
+      const asked = this._arrivals.filter((arrival) => arrival.kind === kind && arrival.at >= from && arrival.at < to).length
+      capacity += Math.min(usualMs * slots / (kind.workMs * kneeFactor), asked) / (to - from) * 1000
     }
     return capacity
   }
 
+  /** Notes how much the reachable servers could do within the trouble's span. */
+  private _watchCapacity (): void {
+    const [from, to] = troubleSpan(this._plan)
+    const reachable = (zone: string): boolean => this._plan.trouble !== 'heavy' || zone === '0'
+    for (const [id, backend] of this._backends) {
+      const before = { usualMs: 0 }
+      this._usualMsInTrouble.set(id, 0)
+      if (!reachable(backend.zone)) continue
+      this._time.after(from, () => { before.usualMs = backend.usualMs() })
+      this._time.after(to, () => this._usualMsInTrouble.set(id, backend.usualMs() - before.usualMs))
+    }
+  }
+
   private _tick (): void {
     for (const scheduler of this._schedulers.values()) scheduler.tick(this._time.now)
     this._time.after(TICK_MS, () => this._tick())
