Take a restarted entry whose clock was set back, keep asks of its former process apart, and serve metrics

Cause: incarnations are the time of day at a process's start; one that starts after its clock was set back seemed older than its former process, and no other entry took it in. Its asks are counted from 1 anew, and a scheduler that had not forgotten the former ones repeated their grants. Change: an entry that hears of a later life of itself goes beyond it; asks belong to a process, not to a name.

--- a/packages/core/src/members/member.ts
+++ b/packages/core/src/members/member.ts
@@ -9,7 +9,7 @@
 /** An entry process. */
 export interface Member {
   instance: string
-  /** Start of the process, in milliseconds since 1970; a later one replaces an earlier one. */
+  /** Start of the process, in milliseconds since 1970, or more after a clock was set back; a later one replaces an earlier one. */
   incarnation: number
   zone: string
   host: string
--- a/packages/core/src/members/roster.ts
+++ b/packages/core/src/members/roster.ts
@@ -187,9 +187,15 @@
     return true
   }
 
-  /** Others think ill of this process, or know a later word of it than it gave: it speaks up. */
+  /** Others think ill of this process, know a later word of it than it gave, or take a former one for later: it speaks up. */
   private _object (news: MemberNews): void {
-    if (news.member.incarnation !== this._self.incarnation) return
+    const { incarnation } = news.member
+    if (incarnation < this._self.incarnation) return
+    if (incarnation > this._self.incarnation) {
+      // The instance's clock was set back between the former process and this one.
+      this._self = { ...this._self, incarnation: incarnation + 1 }
+      return this._restate({})
+    }
     if (news.standing === 'alive' && news.member.sequence <= this._self.sequence) return
     if (news.member.sequence < this._self.sequence) return
     this._self = { ...this._self, sequence: news.member.sequence }
--- a/packages/core/src/placement/schedulerHost.ts
+++ b/packages/core/src/placement/schedulerHost.ts
@@ -45,6 +45,8 @@
 /** Where a request came from. */
 interface Origin {
   from: string
+  /** The process that asked: one that starts anew counts its asks from the beginning. */
+  incarnation: number
   ask: number
   service: string
   at: number
@@ -94,23 +96,30 @@
     this._now = now
     const id = idOf(from.instance, message.ask)
     const known = this._origins.get(id)
-    if (known) return this._repeat(from, known)
-    this._origins.set(id, { from: from.instance, ask: message.ask, service: message.service, at: now, acknowledged: false })
+    if (known?.incarnation === from.incarnation) return this._repeat(from, known)
+    if (known) this._abandon(id, known, now)
+    const { instance, incarnation } = from
+    this._origins.set(id, { from: instance, incarnation, ask: message.ask, service: message.service, at: now, acknowledged: false })
     this._hostedFor(message.service).scheduler.place(requestOf(id, from, message, now), now)
   }
 
-  withdraw (from: string, { service, asks }: Pick<WithdrawMessage, 'service' | 'asks'>, now: number): void {
+  withdraw (from: string, { asks }: Pick<WithdrawMessage, 'asks'>, now: number): void {
     this._now = now
-    const scheduler = this._hosted.get(service)?.scheduler
     for (const ask of asks) {
       const id = idOf(from, ask)
       const origin = this._origins.get(id)
-      this._origins.delete(id)
-      scheduler?.withdraw(id)
-      if (origin?.grant) scheduler?.report(id, origin.grant.server.id, origin.grant.request.route, { outcome: 'unused', tookMs: 0 }, now)
+      if (origin) this._abandon(id, origin, now)
     }
   }
 
+  /** Takes a request out of the line, or gives its server back. */
+  private _abandon (id: string, { service, grant }: Origin, now: number): void {
+    this._origins.delete(id)
+    const scheduler = this._hosted.get(service)?.scheduler
+    scheduler?.withdraw(id)
+    if (grant) scheduler?.report(id, grant.server.id, grant.request.route, UNUSED, now)
+  }
+
   /** An entry still waits: it is told what it may have missed. */
   stillWaiting (from: Member, { asks }: WaitingMessage, now: number): void {
     this._now = now
--- a/packages/core/src/requests/schedulerLine.ts
+++ b/packages/core/src/requests/schedulerLine.ts
@@ -70,7 +70,7 @@
   withdraw (service: string, ask: Ask, now: number): void {
     const { roster, host, outbox } = this._options
     this._pending.delete(ask.id)
-    if (ask.scheduler === roster.self.instance) return host.withdraw(ask.scheduler, { service, asks: [ask.id] }, now)
+    if (ask.scheduler === roster.self.instance) return host.withdraw(ask.scheduler, { asks: [ask.id] }, now)
     const to = roster.get(ask.scheduler)
     if (to) outbox.send(to, { kind: 'withdraw', service, asks: [ask.id] })
   }
--- a/tests/cluster.spec.ts
+++ b/tests/cluster.spec.ts
@@ -103,6 +103,43 @@
     for (const node of cluster.nodes) expect(aliveAt(node)).to.have.length(6)
   })
 
+  for (const deadMs of [300, 4000]) {
+    it(`should take a restarted entry whose clock was set back, ${deadMs} ms after its end`, () => {
+      const { instance, zone } = cluster.nodes[2]!
+      cluster.crash(cluster.nodes[2]!)
+      run(deadMs)
+      cluster.startNode(instance, zone, 0)
+      run(2500)
+      expect(cluster.nodes[2]!.core.phase).to.equal('ready')
+      for (const node of cluster.nodes) expect(aliveAt(node)).to.have.length(6)
+      const told = cluster.call(cluster.nodes[2]!, PATH, 'GET')
+      run(1000)
+      expect(told.outcomes).to.deep.equal(['answered'])
+    })
+  }
+
+  it('should not take the first requests of a restarted entry for those of its former process', () => {
+    const [scheduler] = cluster.nodes[0]!.core.roles.schedulersOf('standing-allocations')
+    const host = cluster.nodes.find(({ instance }) => instance === scheduler!.instance)!
+    const caller = cluster.nodes.find((node) => node !== host)!
+    const granted: Array<string | undefined> = []
+    const handle = host.core.handle.bind(host.core)
+    host.core.handle = (event, now) => {
+      const effects = handle(event, now)
+      for (const effect of effects) if (effect.kind === 'log' && effect.line.decision === 'granted') granted.push(effect.line.request)
+      return effects
+    }
+    const before = cluster.call(caller, PATH, 'GET')
+    run(10)
+    cluster.crash(caller)
+    const again = cluster.startNode(caller.instance, caller.zone)
+    run(1500)
+    const after = cluster.call(again, PATH, 'GET')
+    run(1000)
+    expect(after.outcomes).to.deep.equal(['answered'])
+    expect(granted).to.deep.equal([before.label, after.label])
+  })
+
   it('should come back when all entries were killed at once', () => {
     for (const node of [...cluster.nodes]) cluster.crash(node)
     for (const node of [...cluster.nodes]) cluster.startNode(node.instance, node.zone)
--- a/tests/platform.spec.ts
+++ b/tests/platform.spec.ts
@@ -185,6 +185,7 @@
   /** What the platform fills in for the placeholders of the settings template. */
   const FIELDS: Record<string, unknown> = {
     node_name: 'front-a-1',
+    ip: '10.1.0.15',
     zone: 'a',
     'limits.cpu_share': 0.54,
     'listen.front': '10.1.0.15:8641',
@@ -214,6 +215,7 @@
     const settings = checkSettings(parse(filled(FIELDS)))
     expect(settings.store.url).to.equal('http://10.200.1.7:8642')
     expect(settings.peers.seeds).to.deep.equal(['10.1.0.15:8649'])
+    expect(settings.metrics.address).to.equal('10.1.0.15:9464')
     expect(settings.tolerances).to.include({ retryRatio: 0.2, retrySlack: 56, retryWindowSeconds: 10 })
   })
 
