Blame a server for what others do not do as well

Change: blame counts beyond what half of the service's servers have. The new spec failed before (3 grants of 6).

--- a/packages/core/src/placement/candidates.ts
+++ b/packages/core/src/placement/candidates.ts
@@ -28,6 +28,8 @@
   freshMs: number
   /** Whether servers are asked for their load and warmth at all. */
   asks: boolean
+  /** Blame that half of the servers exceed: what all do is no reason to use one of them less. */
+  usualBlame: number
 }
 
 /** A reading says nothing of a machine's pace any more at this age, in milliseconds. */
@@ -54,7 +56,7 @@
   if (request.avoid.includes(record.entry.id)) return undefined
   const occupancy = record.occupancy(now)
   const cold = record.isCold(now)
-  const blame = Math.min(MOST_BLAME, record.blame(now))
+  const blame = Math.min(MOST_BLAME, Math.max(0, record.blame(now) - circumstances.usualBlame))
   const { work } = circumstances
   if (occupancy >= slotsFor(record, work, cold || blame > DOUBTFUL_BLAME)) return undefined
   if (cold && !record.cold.allows(circumstances.cold, circumstances.share, now)) return undefined
--- a/packages/core/src/placement/scheduler.ts
+++ b/packages/core/src/placement/scheduler.ts
@@ -170,7 +170,7 @@
 
   private _serve (now: number): void {
     if (this._line.length === 0) return
-    const circumstances = this._circumstances()
+    const circumstances = this._circumstances(now)
     let behind = 0
     for (const waiting of this._line.all()) {
       const candidates = this._candidates(waiting.request, circumstances, now)
@@ -375,9 +375,16 @@
     this._options.listener.probe(record.entry)
   }
 
-  private _circumstances (): Circumstances {
+  private _circumstances (now: number): Circumstances {
     const { cold, share, readings } = this._options
-    return { work: this.work, cold: cold(), share: share(), freshMs: FRESH_MS, asks: readings !== 0 }
+    return { work: this.work, cold: cold(), share: share(), freshMs: FRESH_MS, asks: readings !== 0, usualBlame: this._usualBlame(now) }
+  }
+
+  private _usualBlame (now: number): number {
+    const blames: number[] = []
+    for (const record of this._records.values()) if (record.reach === 'reached') blames.push(record.blame(now))
+    blames.sort((a, b) => a - b)
+    return blames[Math.floor((blames.length - 1) / 2)] ?? 0
   }
 }
 
--- a/tests/placement.spec.ts
+++ b/tests/placement.spec.ts
@@ -200,6 +200,18 @@
     expect(ages.leastMs('unknown', 10)).to.equal(0)
   })
 
+  it('should not use servers less because all of them fail alike', () => {
+    learn()
+    scheduler.setServers([server('a'), server('b'), server('c')], 0)
+    for (const id of ['a', 'b', 'c']) answer(id, 0)
+    for (let index = 0; index < 12; index++) {
+      for (const id of ['a', 'b', 'c']) scheduler.report('x', id, 'check', { outcome: 'shed', tookMs: 1 }, 0)
+    }
+    for (const id of ['a', 'b', 'c']) answer(id, 1)
+    for (let index = 0; index < 6; index++) scheduler.place(request(), 2)
+    expect(listener.grants).to.have.length(6)
+  })
+
   it('should refuse at once, and say when to come back, what will find no room in time', () => {
     learn()
     scheduler.setServers([server('a', { slots: 1 })], 0)
