Give a scheduler that is behind time to answer

Change: a scheduler that has answered others meanwhile has 150 ms; one that has not answered by then is passed over for half a second.

--- a/packages/core/src/requests/schedulerLine.ts
+++ b/packages/core/src/requests/schedulerLine.ts
@@ -30,6 +30,8 @@
 const REPEAT_MS = 14
 /** Time after which its scheduler counts as silent. */
 const SILENT_MS = 40
+/** The same for one that has answered others meanwhile: it is there and has much to do, and asking again would add to that. */
+const BEHIND_MS = 150
 /** While a request waits, its scheduler is asked whether it still knows of it, this often. */
 const CHECK_MS = 50
 const WAITING_SILENT_MS = 150
@@ -130,13 +132,14 @@
   }
 
   private _isSilent ({ ask }: Pending, now: number): boolean {
-    if (!ask.queued) return now - ask.askedAt >= SILENT_MS
-    return now - Math.max(ask.askedAt, this._heardAt.get(ask.scheduler) ?? -Infinity) >= WAITING_SILENT_MS
+    const heardAt = this._heardAt.get(ask.scheduler) ?? -Infinity
+    if (ask.queued) return now - Math.max(ask.askedAt, heardAt) >= WAITING_SILENT_MS
+    return now - ask.askedAt >= (heardAt > ask.askedAt ? BEHIND_MS : SILENT_MS)
   }
 
   private _mute ({ ask, request }: Pending, now: number): void {
     const { scheduler } = ask
-    if ((this._heardAt.get(scheduler) ?? -Infinity) <= ask.askedAt) this._mutedUntil.set(scheduler, now + MUTED_MS)
+    this._mutedUntil.set(scheduler, now + MUTED_MS)
     const { label, service } = request.spec
     this._options.outbox.log(
       { decision: 'scheduler-silent', request: label, service, instance: scheduler, tookMs: Math.round(now - ask.askedAt) }
--- /dev/null
+++ b/tests/schedulerLine.spec.ts
@@ -0,0 +1,47 @@
+/** The line from an entry to the schedulers of its services, without a network. */
+import { expect } from 'chai'
+import { newRequest, Outbox, SchedulerLine, type Ask, type Member, type RequestSpec, type SchedulerLineOptions } from '@gooseberryspan/core'
+
+const SCHEDULER = { instance: 'there' } as Member
+
+describe('scheduler line', () => {
+  let unheard: number[]
+  let line: SchedulerLine
+
+  beforeEach(() => {
+    unheard = []
+    line = new SchedulerLine({
+      roster: { self: { instance: 'here' }, get: () => SCHEDULER },
+      roles: { schedulersOf: () => [SCHEDULER] },
+      host: {},
+      outbox: new Outbox(),
+      unheard: (ask: Ask) => void unheard.push(ask.id)
+    } as unknown as SchedulerLineOptions)
+  })
+
+  function place (id: number, now: number): void {
+    const spec = { label: `r${id}`, service: 's', deadlineMs: 800, route: { name: 'check', targetMs: 200, timeoutMs: 800, priority: 1 } }
+    const ask: Ask = { id, purpose: 'first', scheduler: SCHEDULER.instance, askedAt: now, unheard: 0, queued: false }
+    line.place(newRequest(spec as RequestSpec, now), ask, now)
+  }
+
+  it('should ask another one when a scheduler says nothing for 40 ms', () => {
+    place(1, 0)
+    line.tick(39)
+    expect(unheard).to.deep.equal([])
+    line.tick(40)
+    expect(unheard).to.deep.equal([1])
+    expect(line.choose('s', 41)).to.equal('here')
+  })
+
+  it('should give a scheduler time that answers others meanwhile: asking again would add to what it has to do', () => {
+    place(1, 0)
+    place(2, 1)
+    expect(line.settled(SCHEDULER.instance, 2, 30)).to.equal(true)
+    line.tick(60)
+    expect(unheard).to.deep.equal([])
+    line.tick(150)
+    expect(unheard).to.deep.equal([1])
+    expect(line.choose('s', 151)).to.equal('here')
+  })
+})
