Never end a request for want of a second server

Cause: each refused ask for a second server counts among the asks of a request, and the ninth ask ended it with 502 while its server was at work. Change: an attempt that is under way goes on; a request without one is refused with a time to come back.

--- a/packages/core/src/requests/requestDesk.ts
+++ b/packages/core/src/requests/requestDesk.ts
@@ -31,6 +31,8 @@
 /** Attempts need this much time, in milliseconds. */
 const LEAST_ATTEMPT_MS = 2
 const STOPPING_RETRY_AFTER_MS = 100
+/** Time until schedulers that did not answer are replaced by others, in milliseconds. */
+const NO_ANSWER_RETRY_AFTER_MS = 250
 
 /** Takes requests and sees each to its end. */
 export class RequestDesk implements OwnRequests {
@@ -166,7 +168,7 @@
   }
 
   private _askOf (request: OpenRequest, purpose: Purpose, scheduler: string, now: number): void {
-    if (request.asked >= MOST_ASKS) return this._end(request, request.sentTo.length > 0 ? 'shed' : 'no-server', undefined, now)
+    if (request.asked >= MOST_ASKS) return this._askNoMore(request, now)
     this._lastAsk += 1
     request.asked += 1
     const ask: Ask = { id: this._lastAsk, purpose, scheduler, askedAt: now, unheard: 0, queued: false }
@@ -175,6 +177,12 @@
     this._options.line.place(request, ask, now)
   }
 
+  /** An attempt that is under way goes on; without one the request has come to its end. */
+  private _askNoMore (request: OpenRequest, now: number): void {
+    if (request.attempts.size > 0 || request.asks.size > 0) return
+    this._end(request, request.sentTo.length > 0 ? 'shed' : 'no-server', NO_ANSWER_RETRY_AFTER_MS, now)
+  }
+
   private _dispatch (request: OpenRequest, ask: Ask, { server, expectedMs, basis }: Omit<Grant, 'request'>, now: number): void {
     const { spec } = request
     const { invariants, outbox, declarations, catalog } = this._options
--- a/tests/cluster.spec.ts
+++ b/tests/cluster.spec.ts
@@ -174,6 +174,19 @@
     cluster.truth.checkOutcomes()
   })
 
+  it('should leave a request at its slow server however often a second one is refused', () => {
+    for (let index = 0; index < 20; index++) {
+      cluster.call(cluster.nodes[index % 6]!, PATH, 'GET')
+      run(50)
+    }
+    const told = cluster.call(cluster.nodes[0]!, PATH, 'GET')
+    run(8)
+    for (const { noisy } of cluster.backends.values()) noisy.slowness = 30
+    run(1900)
+    expect(told.outcomes).to.deep.equal(['answered'])
+    expect(told.endedAt - told.at).to.be.above(400)
+  })
+
   it('should not send to a zone that is out, nor to servers that leave', () => {
     cluster.setZone(ZONES[0]!, 'out')
     cluster.drain(`${cluster.services[0]}-${ZONES[1]}-0`)
