Let entries that start all at once find each other through the store

Cause: after a loss of power the seeds start about 0.3 s after the other entries. Until then nobody answered the others' introductions, and an entry that is no seed waited 0.9 s or longer before it read the store itself.

Change: the change-feed leader registers up to 48 addresses and the number of entries, not its own address only. An entry that no seed has answered for 40 to 100 ms reads that row and pings some of them; those tell the number on. While no entry is ready, about 24 of them read the store's tables at once, the others get the replicas from these. Until 5 s have passed, each takes only its part of the limits that hold for all entries. The first start of a fleet is told by the settings and does none of this.

--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -1,6 +1,7 @@
 /** The effects that the core returns for the process to carry out, and the log line that explains each decision. */
 import type { GatewayConfiguration } from './configuration/gateway.js'
 import type { RegisteredServer } from './discovery/registeredServer.js'
+import type { AddressBook } from './members/addressBook.js'
 import type { Member, Standing } from './members/member.js'
 import type { PeerMessage, Ping } from './members/peerMessages.js'
 import type { Purpose } from './placement/placementRequest.js'
@@ -104,16 +105,15 @@
   waitMs: number
 }
 
-/** Read the address of the registered change-feed leader from the store. */
-export interface FindWatcherEffect {
-  kind: 'find-watcher'
+/** Read the registered entries from the store. */
+export interface FindEntriesEffect {
+  kind: 'find-entries'
 }
 
-/** Register this entry in the store as change-feed leader. */
-export interface RegisterWatcherEffect {
-  kind: 'name-watcher'
-  host: string
-  port: number
+/** Register this entry as change-feed leader, and the other entries that it knows, in the store. */
+export interface RegisterEntriesEffect {
+  kind: 'register-entries'
+  book: AddressBook
 }
 
 /** A newer configuration has been adopted. */
@@ -192,6 +192,7 @@
   | 'member'
   | 'phase'
   | 'watching'
+  | 'entries-found'
   | 'store-lost'
   | 'store-regained'
   | 'store-history-lost'
@@ -208,8 +209,8 @@
   | PingAddressEffect
   | PullEffect
   | ReadTableEffect
-  | FindWatcherEffect
-  | RegisterWatcherEffect
+  | FindEntriesEffect
+  | RegisterEntriesEffect
   | ConfigurationChangedEffect
   | ExitEffect
   | LogEffect
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -5,6 +5,7 @@
 import { Outbox, type Effect } from './effects.js'
 import type { AttemptEvent, Event, ProbedEvent, ReceivedEvent } from './events.js'
 import { Invariants, type InvariantReporter } from './invariants.js'
+import { isOutdated, newAddressBook, type AddressBook } from './members/addressBook.js'
 import { Joining, type PeerAddress } from './members/joining.js'
 import type { Member, MemberUpdate, Phase } from './members/member.js'
 import type { GrantedMessage, PeerMessage, PeerState, PeerStateQuery } from './members/peerMessages.js'
@@ -27,6 +28,8 @@
   identity: EntryIdentity
   /** Addresses of the entries through which new entries join. */
   seeds: PeerAddress[]
+  /** Whether the whole cluster starts for the first time; false by default. */
+  isFirstStart?: boolean
   tolerances: Tolerances
   reader: RowReader
   random: Random
@@ -89,7 +92,8 @@
       random,
       send: (to, message) => outbox.send(to, message),
       changed: () => this.roles.invalidate(),
-      standingChanged: (update) => this._memberUpdated(update)
+      standingChanged: (update) => this._memberUpdated(update),
+      entriesExpected: (entryCount, now) => this._expectEntries(entryCount, now)
     })
     this.roles = new Roles(this.roster)
     const { roster, roles, declarations, catalog, invariants } = this
@@ -107,7 +111,7 @@
       rowsChanged: (table, rows, now) => ledger.apply(table, rows, now),
       storeRecovered: (now) => catalog.storeRecovered(now)
     })
-    this._joining = new Joining({ roster, seeds, outbox })
+    this._joining = new Joining({ roster, seeds, outbox, random, isFirstStart: options.isFirstStart })
     this.host = new SchedulerHost({ cells, random, declarations, roster, roles, outbox, tolerances: options.tolerances })
     this._schedulerClient = new SchedulerClient({
       roster,
@@ -135,6 +139,7 @@
     if (this._now > 0 && now - this._now > MIN_PAUSE_MS) this.requests.processResumed(now)
     this._now = Math.max(this._now, now)
     this._handleEvent(event, this._now)
+    if (this.phase === 'starting' && this.replication.hasAllTables && this.declarations.gateway) this._enterPhase('ready', this._now)
     return this._outbox.take()
   }
 
@@ -185,7 +190,7 @@
       case 'received': return this._received(event, now)
       case 'pulled': return this._pulled(event.state, now)
       case 'table-read': return this.replication.tableRead(event.table, event.reading, now)
-      case 'watcher-found': return this._leaderFound(event.address)
+      case 'entries-found': return this._entriesFound(event.book, now)
       case 'stop': return this._stop(now)
     }
   }
@@ -199,7 +204,6 @@
     this._schedulerClient.tick(now)
     this.host.tick(now)
     this._registerLeader(now)
-    if (this.phase === 'starting' && this.replication.hasAllTables && this.declarations.gateway) this._enterPhase('ready', now)
     this._exitIfIdle(now)
   }
 
@@ -264,7 +268,7 @@
     this._outbox.log({ decision: 'member', instance: member.instance, standing, reason: member.phase })
   }
 
-  /** Registers this entry in the store as change-feed leader, so that entries that start while no seed is alive can find it. */
+  /** Registers the known entries in the store as change-feed leader, so that entries that start while no seed answers can find them. */
   private _registerLeader (now: number): void {
     if (this.roles.leaderRank !== 0 || !this.replication.hasAllTables || this.phase !== 'ready') {
       this._leaderSince = undefined
@@ -276,22 +280,37 @@
       this._outbox.log({ decision: 'watching' })
     }
     if (now - this._leaderSince < LEADER_REGISTRATION_DELAY_MS || now - this._registeredAt < LEADER_CHECK_INTERVAL_MS) return
-    if (this._registeredAt > -Infinity) this._outbox.put({ kind: 'find-watcher' })
-    else this._registerSelf()
+    if (this._registeredAt > -Infinity) this._outbox.put({ kind: 'find-entries' })
+    else this._registerEntries()
     this._registeredAt = now
   }
 
-  private _registerSelf (): void {
-    const { host, peerPort } = this.roster.self
-    this._outbox.put({ kind: 'name-watcher', host, port: peerPort })
+  private _registerEntries (): void {
+    this._outbox.put({ kind: 'register-entries', book: newAddressBook(this.roster, this._options.random) })
   }
 
-  /** Handles the address of a registered leader. If it is another entry, pings it and, when leader itself, registers again. */
-  private _leaderFound (address: PeerAddress): void {
+  /**
+   * Handles the entries that the store names. If another entry is registered as leader, pings it. Registers the entries again when
+   * leader itself and the book names another leader or is outdated.
+   */
+  private _entriesFound (book: AddressBook, now: number): void {
     const { host, peerPort } = this.roster.self
-    if (address.host === host && address.port === peerPort) return
-    this._joining.leaderFound(address)
-    if (this._leaderSince !== undefined) this._registerSelf()
+    const leader = book.addresses[0]
+    const isOwn = leader?.host === host && leader.port === peerPort
+    if (this._leaderSince !== undefined) {
+      if (!isOwn || isOutdated(book, this.roster)) this._registerEntries()
+    } else {
+      this._expectEntries(book.entryCount, now)
+    }
+    if (!isOwn || this._leaderSince === undefined) this._joining.entriesFound(book.addresses)
+  }
+
+  /** While this entry starts, prepares for the case that all entries start at the same time. */
+  private _expectEntries (entryCount: number, now: number): void {
+    if (this.phase !== 'starting') return
+    this._outbox.log({ decision: 'entries-found', count: entryCount })
+    this.roster.expectEntries(entryCount, now)
+    this.replication.entriesExpected(entryCount, now)
   }
 
   private _stop (now: number): void {
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -1,5 +1,5 @@
 /** The events that the core receives. All of them can be serialized as JSON. */
-import type { PeerAddress } from './members/joining.js'
+import type { AddressBook } from './members/addressBook.js'
 import type { PeerMessage, PeerState } from './members/peerMessages.js'
 import type { AttemptReport } from './placement/placementRequest.js'
 import type { ProbeAnswer } from './placement/serverRecord.js'
@@ -70,10 +70,10 @@
   reading: TableReadResult
 }
 
-/** The store returned the address of the registered change-feed leader. */
-export interface WatcherFoundEvent {
-  kind: 'watcher-found'
-  address: PeerAddress
+/** The store returned the registered entries. */
+export interface EntriesFoundEvent {
+  kind: 'entries-found'
+  book: AddressBook
 }
 
 /** The process received the request to stop. */
@@ -91,5 +91,5 @@
   | ReceivedEvent
   | PulledEvent
   | TableReadEvent
-  | WatcherFoundEvent
+  | EntriesFoundEvent
   | StopEvent
--- a/packages/core/src/members/peerMessages.ts
+++ b/packages/core/src/members/peerMessages.ts
@@ -13,6 +13,8 @@
   news: MemberUpdate[]
   /** Instance that the receiver pings on behalf of the sender. */
   target?: string
+  /** Number of entries that the sender, which has just started, expects to start as well. */
+  entryCount?: number
 }
 
 /** Confirms that a member is reachable. */
--- a/packages/core/src/members/roster.ts
+++ b/packages/core/src/members/roster.ts
@@ -17,6 +17,8 @@
   changed: () => void
   /** Called when the standing of a member has changed. */
   standingChanged: (news: MemberUpdate) => void
+  /** Called when an entry that has just started reports how many entries it expects to start as well. */
+  entriesExpected: (entryCount: number, now: number) => void
 }
 
 /** Time within which a suspected member has to refute the suspicion. */
@@ -32,6 +34,8 @@
 const MAX_FORWARDS_PER_SECOND = 12
 /** The ping interval is shortened for this time after a difference between member lists was found. */
 const DIFFERENCE_FAST_PING_DURATION_MS = 250
+/** Time within which entries that lost power together start again. */
+const EXPECTATION_MS = 5000
 
 /** The members that this entry knows, and their standing. */
 export class Roster {
@@ -41,6 +45,8 @@
   private readonly _pendingUpdates = new PendingUpdates()
   private readonly _repair: ListRepair
   private _peakAliveCount = 1
+  private _expectedCount = 0
+  private _expectedUntil = -Infinity
   private _nextExpiryAt = 0
   private readonly _forwardBudget = new TokenBucket(MAX_FORWARDS_PER_SECOND, MAX_FORWARDS_PER_SECOND, 0)
 
@@ -85,9 +91,18 @@
     return this.alive.length - 1 > MAX_DIRECT_PEERS
   }
 
-  /** The highest number of members that were alive at the same time. */
+  /** The highest number of members that were alive at the same time, or that this entry expects after its start. */
   get most (): number {
-    return this._peakAliveCount
+    return Math.max(this._peakAliveCount, this._expectedCount)
+  }
+
+  /**
+   * Records how many entries were running before this one started. Until they have had time to appear, this entry counts as one of
+   * that many, so that it takes only its share of the limits that hold for all entries together.
+   */
+  expectEntries (entryCount: number, now: number): void {
+    this._expectedCount = entryCount
+    this._expectedUntil = now + EXPECTATION_MS
   }
 
   /** Time at which the next periodic work is due. */
@@ -121,7 +136,7 @@
 
   /** Creates a ping that introduces this entry to an entry of which only the address is known. */
   introductionPing (): Ping {
-    return this._detector.introductionPing()
+    return { ...this._detector.introductionPing(), entryCount: this._expectedCount > 0 ? this._expectedCount : undefined }
   }
 
   /**
@@ -153,6 +168,7 @@
       if (ping.target !== this.self.instance) this._detector.relay(from, ping)
       return
     }
+    if (ping.entryCount !== undefined) this._options.entriesExpected(ping.entryCount, now)
     const { digest } = this._table
     const differs = ping.digest !== digest.checksum
     if (differs) this._detector.pingFaster(now, DIFFERENCE_FAST_PING_DURATION_MS)
@@ -181,6 +197,7 @@
 
   tick (now: number): void {
     this._detector.tick(now)
+    if (now >= this._expectedUntil) this._expectedCount = 0
     if (now < this._nextExpiryAt) return
     this._nextExpiryAt = now + EXPIRY_INTERVAL_MS
     this._expireMembers(now)
--- a/packages/core/src/store/storeWatch.ts
+++ b/packages/core/src/store/storeWatch.ts
@@ -51,6 +51,13 @@
 /** Pause between two requests for another entry's replicas; it doubles up to the maximum while no entry answers. */
 const INITIAL_PULL_PAUSE_MS = 150
 const MAX_PULL_PAUSE_MS = 1200
+/**
+ * Number of entries, on average, that read the store at once after a start of all entries. The others wait for the replicas of these,
+ * which takes longer but limits the calls to the store in a cluster of hundreds.
+ */
+const MAX_INITIAL_READERS = 24
+/** Time within which the registered entries answer if they are running: several round trips between zones. */
+const READY_ENTRY_WAIT_MS = 15
 
 /** Reads the store, or receives changes from the entries that read it. */
 export class StoreWatch {
@@ -62,6 +69,8 @@
   private _nextHeartbeatAt = 0
   private _nextPullAt = 0
   private _pullPauseMs = INITIAL_PULL_PAUSE_MS
+  /** Time from which this entry, without replicas, reads the store as long as no ready entry is known. */
+  private _initialReadAt = Infinity
 
   constructor (options: StoreWatchOptions) {
     this._options = options
@@ -102,6 +111,13 @@
     else if (now >= this._nextHeartbeatAt && this._options.roles.leaderRank === 0) this._sendHeartbeat(now)
   }
 
+  /** Handles the number of entries that were running before this one started. */
+  entriesExpected (entryCount: number, now: number): void {
+    if (this._initialReadAt === Infinity && this._options.random.next() * entryCount < MAX_INITIAL_READERS) {
+      this._initialReadAt = now + READY_ENTRY_WAIT_MS
+    }
+  }
+
   /** Handles the result of reading a table from the store. */
   tableRead (table: TableName, result: TableReadResult, now: number): void {
     const reader = this._readers.get(table)!
@@ -188,7 +204,13 @@
   private _isReadDue (table: TableName, reader: TableReader, now: number): boolean {
     if (this._waitsForFirstTable(table, reader)) return false
     if (reader.replica.version !== undefined) return this._access.mayRead(now - reader.replica.confirmedAt)
-    return this._options.isSeed || this._access.mayReadInitially(now - this._startedAt!)
+    if (this._options.isSeed || this._access.mayReadInitially(now - this._startedAt!)) return true
+    return now >= this._initialReadAt && this._readyEntries().length === 0
+  }
+
+  private _readyEntries (): Member[] {
+    const { roster } = this._options
+    return roster.alive.filter(({ phase, instance }) => phase === 'ready' && instance !== roster.self.instance)
   }
 
   /** In a large cluster, only the first table is read to find out whether an unreachable store answers again, which saves calls. */
@@ -257,7 +279,7 @@
   private _pullFromReadyMember (now: number): void {
     if (now < this._nextPullAt) return
     const { roster, random } = this._options
-    const ready = roster.alive.filter(({ phase, instance }) => phase === 'ready' && instance !== roster.self.instance)
+    const ready = this._readyEntries()
     const sameZone = ready.filter(({ zone }) => zone === roster.self.zone)
     const sources = sameZone.length > 0 ? sameZone : ready
     const source = draw(sources, random)
--- a/packages/entry/src/peers/datagramCodec.ts
+++ b/packages/entry/src/peers/datagramCodec.ts
@@ -10,13 +10,13 @@
 }
 
 /** The type of a message field; a question mark marks an optional field. */
-type FieldType = 'number' | 'string' | 'list' | 'numbers' | 'strings' | 'object' | 'news' | 'server' | 'numbers?' | 'object?' | 'string?'
+type FieldType = 'number' | 'string' | 'list' | 'numbers' | 'strings' | 'object' | 'news' | 'server' | 'number?' | 'numbers?' | 'object?' | 'string?'
 
 type Kind = PeerMessage['kind']
 
 /** Fields of each message kind in wire order. The order must not change, since entries of different versions exchange messages. */
 const FIELDS: Record<Kind, ReadonlyArray<readonly [name: string, type: FieldType]>> = {
-  ping: [['sequence', 'number'], ['digest', 'number'], ['news', 'news'], ['target', 'string?']],
+  ping: [['sequence', 'number'], ['digest', 'number'], ['news', 'news'], ['target', 'string?'], ['entryCount', 'number?']],
   'ping-answer': [['sequence', 'number'], ['digest', 'number'], ['news', 'news'], ['groups', 'numbers?'], ['target', 'string?']],
   gossip: [['news', 'news']],
   compare: [['groups', 'numbers'], ['keys', 'numbers'], ['states', 'numbers']],
@@ -105,7 +105,8 @@
 /** Returns the value of a field, or undefined if it is absent or has the wrong type. */
 function decodeField (value: unknown, type: FieldType): unknown {
   switch (type) {
-    case 'number': return typeof value === 'number' && Number.isFinite(value) ? value : undefined
+    case 'number':
+    case 'number?': return typeof value === 'number' && Number.isFinite(value) ? value : undefined
     case 'string':
     case 'string?': return typeof value === 'string' ? value : undefined
     case 'list': return Array.isArray(value) ? value : undefined
--- a/packages/entry/src/runtime/entryNode.ts
+++ b/packages/entry/src/runtime/entryNode.ts
@@ -175,8 +175,8 @@
       }
       case 'disconnect': return this._handlers.backends.disconnect(effect.server)
       case 'read-table': return this._handlers.store.read(effect)
-      case 'find-watcher': return this._handlers.store.findWatcher()
-      case 'name-watcher': return this._handlers.store.nameWatcher(effect)
+      case 'find-entries': return this._handlers.store.findEntries()
+      case 'register-entries': return this._handlers.store.registerEntries(effect.book)
       case 'pull': return this._pull(effect.host, effect.port)
       case 'configured': return this._handlers.configured()
       case 'left': return this._handlers.left()
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -5,7 +5,8 @@
 import { InvalidSettings } from './errors.js'
 
 const ADDRESS = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/
-const addressSchema = z.string().regex(ADDRESS, 'must be an IP number and a port, like 10.0.1.10:8080')
+/** An IP number and a port. */
+export const addressSchema = z.string().regex(ADDRESS, 'must be an IP number and a port, like 10.0.1.10:8080')
 
 /** Treats null and the empty string as absent, since a platform's settings template may leave a value empty. */
 const optional = <T extends z.ZodType>(schema: T) => z.preprocess((value) => value === null || value === '' ? undefined : value, schema)
@@ -30,6 +31,7 @@
   peers: z.strictObject({
     address: addressSchema.default('127.0.0.1:8081').describe('IP number and port for other entries, both TCP and UDP.'),
     seeds: optional(z.array(addressSchema).default([])).describe('Addresses of a few entries that this one may join through.'),
+    firstStart: optional(z.boolean().default(false)).describe('Whether all instances start for the first time: the store names none yet.'),
     token: z.string().min(8).optional().describe('Secret that entries show each other.')
   }).prefault({}),
   operators: z.strictObject({
--- a/packages/entry/src/store/storeExecutor.ts
+++ b/packages/entry/src/store/storeExecutor.ts
@@ -1,21 +1,20 @@
 /** Executes the core's store operations. Each table read reports exactly one result: the rows, the changes or the reason of a failure. */
 import { Channel, awaitPromise, takeUnlessClosed, type Child, type Scope, type ProcessBody } from '@gooseberryspan/csp'
-import type { PeerAddress, ReadTableEffect, TableName, TableReadResult } from '@gooseberryspan/core'
+import type { AddressBook, ReadTableEffect, TableName, TableReadResult } from '@gooseberryspan/core'
 import type { Store } from '@gooseberryspan/store'
+import { ADDRESS_BOOK_ROW, decodeAddressBook, encodeAddressBook } from './addressBookRow.js'
 
 /** Options of a `StoreExecutor`. */
 export interface StoreExecutorOptions {
   store: Store
   /** Receives the result of each table read. */
   read: (table: TableName, reading: TableReadResult) => void
-  /** Receives the address of the change-feed leader. */
-  found: (address: PeerAddress) => void
+  /** Receives the registered entries. */
+  found: (book: AddressBook) => void
   /** Receives the error of each operation that failed. */
   failed: (call: string, error: Error) => void
 }
 
-/** Row in which the change-feed leader stores its address, for entries that start while no seed is reachable. */
-const WATCHER_ROW = { table: 'watchers', key: 'current' } as const
 const MAX_QUEUED_TASKS = 8
 
 /** Runs the processes that execute the core's store operations. */
@@ -35,19 +34,20 @@
     setImmediate(() => this._options.read(effect.table, { kind: 'unavailable', reason: 'the last reading has not ended' }))
   }
 
-  /** Reads the address of the change-feed leader. */
-  findWatcher (): void {
+  /** Reads the registered entries. */
+  findEntries (): void {
     this._tasks.offer(async () => {
-      const row = await this._options.store.readRow(WATCHER_ROW)
-      const address = row?.value === undefined ? undefined : parseAddress(row.value)
-      if (address) this._options.found(address)
+      const row = await this._options.store.readRow(ADDRESS_BOOK_ROW)
+      const book = row?.value === undefined ? undefined : decodeAddressBook(row.value)
+      if (book) this._options.found(book)
     })
   }
 
-  /** Writes the address of this entry as that of the change-feed leader. */
-  nameWatcher (address: PeerAddress): void {
+  /** Registers the entries. */
+  registerEntries (book: AddressBook): void {
     this._tasks.offer(async () => {
-      await this._options.store.transact({ conditions: [], puts: [{ ...WATCHER_ROW, value: JSON.stringify(address) }], removes: [] })
+      const put = { ...ADDRESS_BOOK_ROW, value: encodeAddressBook(book) }
+      await this._options.store.transact({ conditions: [], puts: [put], removes: [] })
     })
   }
 
@@ -85,12 +85,3 @@
     }
   }
 }
-
-function parseAddress (text: string): PeerAddress | undefined {
-  try {
-    const { host, port } = JSON.parse(text) as Partial<PeerAddress>
-    return typeof host === 'string' && typeof port === 'number' ? { host, port } : undefined
-  } catch {
-    return undefined
-  }
-}
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -126,7 +126,7 @@
   const storeExecutor = new StoreExecutor({
     store,
     read: (table, reading) => node.handle({ kind: 'table-read', table, reading }),
-    found: (address) => node.handle({ kind: 'watcher-found', address }),
+    found: (book) => node.handle({ kind: 'entries-found', book }),
     failed: (call, error) => log.info({ decision: 'store-failed', reason: error.message, call })
   })
   const ticker = new Ticker(node)
@@ -238,6 +238,7 @@
     seed,
     identity: { instance: settings.instance, incarnation: Date.now(), zone: settings.zone, host, cores: coreShare * speed, ...ports },
     seeds: settings.peers.seeds.map(parseHostPort),
+    isFirstStart: settings.peers.firstStart,
     tolerances: readTolerances(settings),
     lapseMs: REGISTRATION_LAPSE_MS,
     lingerMs: settings.stop.lingerSeconds * 1000
--- a/packages/laboratory/src/members/memberModel.ts
+++ b/packages/laboratory/src/members/memberModel.ts
@@ -145,10 +145,15 @@
     }
     const random = new SeededRandom(Math.floor(this._random.next() * 2 ** 31))
     const roster = new Roster({
-      self, random, send: (to, message) => outbox.send(to, message), changed: () => {}, standingChanged: (_news: MemberUpdate) => {}
+      self,
+      random,
+      send: (to, message) => outbox.send(to, message),
+      changed: () => {},
+      standingChanged: (_news: MemberUpdate) => {},
+      entriesExpected: () => {}
     })
     const seeds = Array.from({ length: SEED_COUNT }, (_, seed) => ({ host: hostOf(seed), port: PEER_PORT }))
-    const joining = new Joining({ roster, seeds, outbox })
+    const joining = new Joining({ roster, seeds, outbox, random })
     return { index, zone, incarnation, alive: true, roster, joining, outbox, bytes: 0 }
   }
 
--- /dev/null
+++ b/tests/fleetRestart.spec.ts
@@ -0,0 +1,90 @@
+/** All entries lose power at once and start again at different speeds: when callers are answered, and what that costs the store. */
+import { expect } from 'chai'
+import { Cluster, type Node } from './fixtures/cluster.js'
+import type { CallRecord } from './fixtures/truth.js'
+
+const SETTLED_MS = 8000
+const POWER_OFF_MS = 1000
+/** The first entries are the seeds; they start this long after the others. */
+const SEEDS = 3
+const SEED_DELAY_MS = 300
+const START_SPREAD_MS = 50
+const COLD_MS = 3000
+/** From this time after the start of an entry, its callers are answered. */
+const FIRST_ANSWERS_MS = 250
+const CALL_INTERVAL_MS = 10
+/** Calls to the store that one start of an entry costs: the registered entries and two tables. */
+const MAX_STORE_CALLS_PER_START = 3
+
+describe('a restart of all entries', () => {
+  const restart = (entriesPerZone: number, { seedsReturn = true, serversAreCold = false } = {}): Cluster => {
+    const cluster = new Cluster({ seed: 3, entriesPerZone, serversPerZone: 2 })
+    cluster.time.runUntil(SETTLED_MS)
+    for (const node of [...cluster.nodes]) cluster.crash(node)
+    cluster.time.runUntil(cluster.time.now + POWER_OFF_MS)
+    if (serversAreCold) for (const { simulated } of cluster.backends.values()) simulated.makeCold(COLD_MS)
+    cluster.storeCalls.clear()
+    for (const [index, { instance, zone }] of [...cluster.nodes].entries()) {
+      const isSeed = index < SEEDS
+      if (isSeed && !seedsReturn) continue
+      const delayMs = isSeed ? SEED_DELAY_MS : cluster.random.next() * START_SPREAD_MS
+      cluster.time.after(delayMs, () => cluster.startNode(instance, zone))
+    }
+    return cluster
+  }
+
+  /** Calls one entry after the other for some time, and returns the calls. */
+  const callAll = (cluster: Cluster, ms: number): CallRecord[] => {
+    const calls: CallRecord[] = []
+    const until = cluster.time.now + ms
+    for (let turn = 0; cluster.time.now < until; turn++) {
+      const alive = cluster.aliveNodes()
+      const node: Node | undefined = alive[turn % Math.max(1, alive.length)]
+      if (node) calls.push(cluster.call(node, '/allocations', 'GET'))
+      cluster.time.runUntil(cluster.time.now + CALL_INTERVAL_MS)
+    }
+    return calls
+  }
+
+  it('should answer callers before the seeds have started', () => {
+    const cluster = restart(6)
+    const startedAt = cluster.time.now
+    const calls = callAll(cluster, SEED_DELAY_MS).filter(({ at }) => at >= startedAt + FIRST_ANSWERS_MS)
+    cluster.time.runUntil(cluster.time.now + 2000)
+    expect(calls.map(({ outcomes }) => outcomes)).to.deep.equal(calls.map(() => ['answered']))
+    expect(cluster.violations).to.deep.equal([])
+  })
+
+  it('should agree on the members soon after the seeds have started', () => {
+    const cluster = restart(6)
+    cluster.time.runUntil(cluster.time.now + SEED_DELAY_MS + 1000)
+    cluster.checkConverged()
+    expect(cluster.ready()).to.have.length(18)
+    expect(cluster.violations).to.deep.equal([])
+  })
+
+  it('should answer callers though no seed starts any more', () => {
+    const cluster = restart(6, { seedsReturn: false })
+    cluster.time.runUntil(cluster.time.now + FIRST_ANSWERS_MS + START_SPREAD_MS)
+    const calls = callAll(cluster, 500)
+    cluster.time.runUntil(cluster.time.now + 2000)
+    expect(calls.map(({ outcomes }) => outcomes)).to.deep.equal(calls.map(() => ['answered']))
+    expect(cluster.violations).to.deep.equal([])
+  })
+
+  it('should send cold servers no more than they can take while the entries do not know each other yet', () => {
+    const cluster = restart(6, { serversAreCold: true })
+    callAll(cluster, 2000)
+    expect(cluster.violations).to.deep.equal([])
+  })
+
+  for (const entriesPerZone of [7, 35]) {
+    it(`should cost the store few calls with ${entriesPerZone * 3} entries`, () => {
+      const cluster = restart(entriesPerZone)
+      cluster.time.runUntil(cluster.time.now + 1500)
+      expect(cluster.ready()).to.have.length(entriesPerZone * 3)
+      const calls = [...cluster.storeCalls.values()].reduce((sum, count) => sum + count, 0)
+      expect(calls).to.be.at.most(Math.min(entriesPerZone * 3, 48) * MAX_STORE_CALLS_PER_START)
+    })
+  }
+})
