Let an entry schedule for others only once it has warmed up

Cause: after a start of all entries the scheduler of a service gets the requests of all of them while its own code is cold.

Until one is warm, each entry schedules its own requests, within its part of the limits for all.

Tried beside it and not kept: a process that runs late counts its own delay off before it calls a scheduler or a backend server silent.

--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -193,6 +193,7 @@
   | 'phase'
   | 'watching'
   | 'entries-found'
+  | 'warm'
   | 'store-lost'
   | 'store-regained'
   | 'store-history-lost'
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -11,6 +11,7 @@
 import type { GrantedMessage, PeerMessage, PeerState, PeerStateQuery } from './members/peerMessages.js'
 import { Roles } from './members/roles.js'
 import { Roster } from './members/roster.js'
+import { WarmUp } from './members/warmUp.js'
 import { Cells } from './placement/cells.js'
 import { SchedulerHost, UNUSED_REPORT, type Tolerances } from './placement/schedulerHost.js'
 import { shuffled, type Random } from './random.js'
@@ -22,7 +23,7 @@
 import { StoreWatch } from './store/storeWatch.js'
 
 /** The part of an entry's member record that does not change while it runs. */
-export type EntryIdentity = Omit<Member, 'phase' | 'reachesStore' | 'sequence'>
+export type EntryIdentity = Omit<Member, 'phase' | 'reachesStore' | 'isWarm' | 'sequence'>
 
 export interface EntryOptions {
   identity: EntryIdentity
@@ -43,7 +44,7 @@
 /** Time between ticks while a request waits for a server. */
 const WAITING_TICK_MS = 5
 const MIN_TICK_MS = 2
-/** Longest time between ticks while this entry starts, or while it runs schedulers and probes unreachable servers. */
+/** Longest time between ticks while this entry starts and warms up, or while it runs schedulers and probes unreachable servers. */
 const MAX_ACTIVE_TICK_MS = 20
 /** Longest time between ticks, and so the granularity of periodic work that has no due time of its own. */
 const MAX_TICK_MS = 100
@@ -73,6 +74,7 @@
   private readonly _outbox = new Outbox()
   private readonly _joining: Joining
   private readonly _schedulerClient: SchedulerClient
+  private readonly _warmUp = new WarmUp(MAX_ACTIVE_TICK_MS)
   private _now = 0
   private _leaderSince: number | undefined
   private _registeredAt = -Infinity
@@ -88,7 +90,7 @@
     this.catalog = new Catalog({ lapseMs: options.lapseMs })
     this.weightedPicker = new WeightedPicker(random)
     this.roster = new Roster({
-      self: { ...identity, phase: 'starting', reachesStore: true, sequence: 1 },
+      self: { ...identity, phase: 'starting', reachesStore: true, isWarm: false, sequence: 1 },
       random,
       send: (to, message) => outbox.send(to, message),
       changed: () => this.roles.invalidate(),
@@ -150,7 +152,7 @@
   /** Time until the core needs the next tick, in milliseconds. */
   pauseMs (now: number): number {
     if (this.requests.waiting || this.host.busy) return WAITING_TICK_MS
-    const maxTickMs = this.phase === 'starting' || this.host.isActive(now) ? MAX_ACTIVE_TICK_MS : MAX_TICK_MS
+    const maxTickMs = !this.roster.self.isWarm || this.host.isActive(now) ? MAX_ACTIVE_TICK_MS : MAX_TICK_MS
     const dueAt = Math.min(this.requests.dueAt, this.roster.dueAt, now + maxTickMs)
     return Math.max(MIN_TICK_MS, dueAt - now)
   }
@@ -204,6 +206,7 @@
     this._schedulerClient.tick(now)
     this.host.tick(now)
     this._registerLeader(now)
+    if (this.phase === 'ready' && !this.roster.self.isWarm && this._warmUp.ran(now)) this._announceWarm(now)
     this._exitIfIdle(now)
   }
 
@@ -212,6 +215,11 @@
     this._outbox.log({ decision: 'phase', reason: phase, revision: this.declarations.revision, count: this.catalog.size })
   }
 
+  private _announceWarm (now: number): void {
+    this.roster.announce({ isWarm: true }, now)
+    this._outbox.log({ decision: 'warm' })
+  }
+
   private _expire (now: number): void {
     const changedServices = this.catalog.expire(now)
     if (changedServices.size > 0) this._serversChanged(changedServices, now)
--- a/packages/core/src/members/member.ts
+++ b/packages/core/src/members/member.ts
@@ -26,6 +26,8 @@
   phase: Phase
   /** Whether the entry can reach the platform's store. */
   reachesStore: boolean
+  /** Whether the entry has warmed up since its start, so that it can schedule for others. */
+  isWarm: boolean
   /** The process increments this number with each change to its own description. */
   sequence: number
 }
--- a/packages/core/src/members/roles.ts
+++ b/packages/core/src/members/roles.ts
@@ -22,7 +22,7 @@
   private _leaderCandidates: Member[] | undefined
   private _leaderRank: number | undefined
   private _leaderRankInZone: number | undefined
-  private _readyMembers: readonly Member[] | undefined
+  private _warmMembers: readonly Member[] | undefined
 
   constructor (roster: Roster) {
     this._roster = roster
@@ -34,7 +34,7 @@
     this._leaderCandidates = undefined
     this._leaderRank = undefined
     this._leaderRankInZone = undefined
-    this._readyMembers = undefined
+    this._warmMembers = undefined
   }
 
   /** Scheduler candidates for a group of servers, the preferred one first. */
@@ -110,13 +110,10 @@
     return this._roster.alive.filter((member) => member.phase !== 'leaving')
   }
 
-  /** Members that may schedule. Entries that are not ready yet are used only if no entry is ready. */
+  /** Members that may schedule. While there is none, each entry schedules its own requests. */
   private _schedulable (): readonly Member[] {
-    if (!this._readyMembers) {
-      const ready = this._roster.alive.filter((member) => member.phase === 'ready')
-      this._readyMembers = ready.length > 0 ? ready : this._notLeaving()
-    }
-    return this._readyMembers
+    this._warmMembers ??= this._roster.alive.filter((member) => member.phase === 'ready' && member.isWarm)
+    return this._warmMembers
   }
 }
 
--- a/packages/core/src/members/roster.ts
+++ b/packages/core/src/members/roster.ts
@@ -3,7 +3,7 @@
 import { draw, type Random } from '../random.js'
 import { FailureDetector } from './failureDetector.js'
 import { ListRepair, MAX_UPDATES_PER_MESSAGE } from './listRepair.js'
-import { MAX_DIRECT_PEERS, type Member, type MemberUpdate, type Phase, type Standing } from './member.js'
+import { MAX_DIRECT_PEERS, type Member, type MemberUpdate, type Standing } from './member.js'
 import { MemberTable, effectiveStandingOf, type MemberRecord } from './memberTable.js'
 import type { Gossip, PeerMessage, Ping, PingAnswer } from './peerMessages.js'
 import { PendingUpdates } from './rumors.js'
@@ -21,6 +21,9 @@
   entriesExpected: (entryCount: number, now: number) => void
 }
 
+/** What an entry may change in the description of its process. */
+type OwnChange = Partial<Pick<Member, 'phase' | 'reachesStore' | 'isWarm'>>
+
 /** Time within which a suspected member has to refute the suspicion. */
 const SUSPICION_TIMEOUT_MS = 1500
 const DEAD_MEMBER_RETENTION_MS = 120_000
@@ -128,10 +131,10 @@
   }
 
   /** Changes the description of this process and broadcasts it. */
-  announce (change: Partial<Pick<Member, 'phase' | 'reachesStore'>>, now: number): void {
-    const { phase, reachesStore } = { ...this.self, ...change }
-    if (phase === this.self.phase && reachesStore === this.self.reachesStore) return
-    this._restate({ phase, reachesStore }, now)
+  announce (change: OwnChange, now: number): void {
+    const { phase, reachesStore, isWarm } = { ...this.self, ...change }
+    if (phase === this.self.phase && reachesStore === this.self.reachesStore && isWarm === this.self.isWarm) return
+    this._restate({ phase, reachesStore, isWarm }, now)
   }
 
   /** Creates a ping that introduces this entry to an entry of which only the address is known. */
@@ -243,7 +246,7 @@
     this._restate({}, now)
   }
 
-  private _restate (change: { phase?: Phase, reachesStore?: boolean }, now: number): void {
+  private _restate (change: OwnChange, now: number): void {
     this._table.restate({ ...this.self, ...change, sequence: this.self.sequence + 1 })
     this._pendingUpdates.add(this.self.instance)
     this._broadcast([this._table.selfUpdate], now)
--- a/packages/entry/src/peers/datagramCodec.ts
+++ b/packages/entry/src/peers/datagramCodec.ts
@@ -10,7 +10,8 @@
 }
 
 /** The type of a message field; a question mark marks an optional field. */
-type FieldType = 'number' | 'string' | 'list' | 'numbers' | 'strings' | 'object' | 'news' | 'server' | 'number?' | 'numbers?' | 'object?' | 'string?'
+type FieldType =
+  'number' | 'string' | 'list' | 'numbers' | 'strings' | 'object' | 'news' | 'server' | 'number?' | 'numbers?' | 'object?' | 'string?'
 
 type Kind = PeerMessage['kind']
 
@@ -139,20 +140,22 @@
 }
 
 function encodeUpdate ({ member, standing }: MemberUpdate): unknown[] {
-  const { instance, incarnation, zone, host, port, peerPort, cores, phase, reachesStore, sequence } = member
+  const { instance, incarnation, zone, host, port, peerPort, cores, phase, reachesStore, isWarm, sequence } = member
   return [
-    instance, incarnation, zone, host, port, peerPort, cores, PHASES.indexOf(phase), reachesStore, sequence, STANDINGS.indexOf(standing)
+    instance, incarnation, zone, host, port, peerPort, cores, PHASES.indexOf(phase), reachesStore, sequence, STANDINGS.indexOf(standing),
+    isWarm
   ]
 }
 
 function decodeUpdate (item: unknown): MemberUpdate | undefined {
   if (!Array.isArray(item)) return undefined
-  const [instance, incarnation, zone, host, port, peerPort, cores, phaseIndex, reachesStore, sequence, standingIndex] = item as unknown[]
+  const [instance, incarnation, zone, host, port, peerPort, cores, phaseIndex, reachesStore, sequence, standingIndex, isWarm = true] =
+    item as unknown[]
   const phase = PHASES[phaseIndex as number]
   const standing = STANDINGS[standingIndex as number]
   if (!areStrings([instance, zone, host]) || !areNumbers([incarnation, port, peerPort, cores, sequence])) return undefined
-  if (phase === undefined || standing === undefined || typeof reachesStore !== 'boolean') return undefined
-  const member = { instance, incarnation, zone, host, port, peerPort, cores, phase, reachesStore, sequence } as Member
+  if (phase === undefined || standing === undefined || typeof reachesStore !== 'boolean' || typeof isWarm !== 'boolean') return undefined
+  const member = { instance, incarnation, zone, host, port, peerPort, cores, phase, reachesStore, isWarm, sequence } as Member
   return { member, standing }
 }
 
--- a/packages/laboratory/src/members/memberModel.ts
+++ b/packages/laboratory/src/members/memberModel.ts
@@ -141,6 +141,7 @@
       cores: 1,
       phase: 'starting',
       reachesStore: true,
+      isWarm: false,
       sequence: 1
     }
     const random = new SeededRandom(Math.floor(this._random.next() * 2 ** 31))
--- a/tests/directory.spec.ts
+++ b/tests/directory.spec.ts
@@ -15,6 +15,7 @@
   cores: 1,
   phase: 'ready',
   reachesStore: true,
+  isWarm: true,
   sequence: 1
 }
 
--- a/tests/fleetRestart.spec.ts
+++ b/tests/fleetRestart.spec.ts
@@ -10,6 +10,11 @@
 const SEED_DELAY_MS = 300
 const START_SPREAD_MS = 50
 const COLD_MS = 3000
+/** How late an entry runs while its code is cold and callers come back all at once. */
+const COLD_DELAY_MS = 150
+/** Within this time a caller's request is at a backend server while these have room: less than a scheduler is waited for. */
+const MAX_PLACING_MS = 30
+const CALM_CALL_INTERVAL_MS = 250
 /** From this time after the start of an entry, its callers are answered. */
 const FIRST_ANSWERS_MS = 250
 const CALL_INTERVAL_MS = 10
@@ -17,8 +22,8 @@
 const MAX_STORE_CALLS_PER_START = 3
 
 describe('a restart of all entries', () => {
-  const restart = (entriesPerZone: number, { seedsReturn = true, serversAreCold = false } = {}): Cluster => {
-    const cluster = new Cluster({ seed: 3, entriesPerZone, serversPerZone: 2 })
+  const restart = (entriesPerZone: number, { seedsReturn = true, serversAreCold = false, serversPerZone = 2 } = {}): Cluster => {
+    const cluster = new Cluster({ seed: 3, entriesPerZone, serversPerZone })
     cluster.time.runUntil(SETTLED_MS)
     for (const node of [...cluster.nodes]) cluster.crash(node)
     cluster.time.runUntil(cluster.time.now + POWER_OFF_MS)
@@ -78,6 +83,32 @@
     expect(cluster.violations).to.deep.equal([])
   })
 
+  it('should not let callers wait for schedulers whose code is still cold', () => {
+    const cluster = restart(6, { serversPerZone: 8 })
+    const names = cluster.nodes[5]!.core.roles.schedulersOf(cluster.services[0]!).slice(0, 2).map(({ instance }) => instance)
+    cluster.time.runUntil(cluster.time.now + FIRST_ANSWERS_MS)
+    const isCold = (node: Node): boolean => names.includes(node.instance)
+    const coldUntil = cluster.time.now + 1000
+    const runLate = (): void => {
+      for (const node of cluster.aliveNodes().filter(isCold)) cluster.pause(node, COLD_DELAY_MS)
+      if (cluster.time.now < coldUntil) cluster.time.after(COLD_DELAY_MS + 1, runLate)
+    }
+    runLate()
+    const calls: CallRecord[] = []
+    let unplaced = 0
+    while (cluster.time.now < coldUntil) {
+      const others = cluster.ready().filter((each) => !isCold(each))
+      for (const node of others) calls.push(cluster.call(node, '/allocations', 'GET'))
+      cluster.time.runUntil(cluster.time.now + MAX_PLACING_MS)
+      for (const { requests, attempts } of others) unplaced += Math.max(0, requests.size - attempts.size)
+      cluster.time.runUntil(cluster.time.now + CALM_CALL_INTERVAL_MS - MAX_PLACING_MS)
+    }
+    cluster.time.runUntil(cluster.time.now + 2000)
+    expect(unplaced, 'calls that waited for a scheduler').to.equal(0)
+    expect(calls.map(({ outcomes }) => outcomes)).to.deep.equal(calls.map(() => ['answered']))
+    expect(cluster.violations).to.deep.equal([])
+  })
+
   for (const entriesPerZone of [7, 35]) {
     it(`should cost the store few calls with ${entriesPerZone * 3} entries`, () => {
       const cluster = restart(entriesPerZone)
