Move the entries to warm schedulers one after the other

Cause: 0.3 s after a start of all entries the first ones are warm, and the next request of every entry went to them.

Change: an entry that has seen no warm scheduler moves to one at a random time within a second after it has seen the first. An entry that starts alone asks at once, as before.

--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -120,6 +120,7 @@
       roles,
       host: this.host,
       outbox,
+      random,
       timedOut: (schedulerRequest, now) => this.requests.schedulerTimedOut(schedulerRequest, now)
     })
     const cellSelector = new CellSelector({ cells, roster, random })
--- a/packages/core/src/placement/schedulerHost.ts
+++ b/packages/core/src/placement/schedulerHost.ts
@@ -235,7 +235,7 @@
     const rank = roles.schedulersOf(cell).findIndex((member) => member.instance === roster.self.instance)
     const seesMajority = roster.alive.length * 2 > roster.most
     if (rank >= 0 && rank < SHARING_SCHEDULER_COUNT && seesMajority) return SCHEDULER_SHARE_FRACTION
-    return 1 / (2 * roster.most)
+    return Math.min(SCHEDULER_SHARE_FRACTION, 1 / (2 * roster.most))
   }
 
   /** The cell that a request is passed on to because of overload here; undefined if this cell keeps it. */
--- a/packages/core/src/requests/schedulerClient.ts
+++ b/packages/core/src/requests/schedulerClient.ts
@@ -6,13 +6,16 @@
 import type { Roster } from '../members/roster.js'
 import type { AttemptReport } from '../placement/placementRequest.js'
 import type { SchedulerHost } from '../placement/schedulerHost.js'
+import type { Random } from '../random.js'
 import type { SchedulerRequest, OpenRequest } from './request.js'
+import { SchedulerRamp } from './schedulerRamp.js'
 
 export interface SchedulerClientOptions {
   roster: Roster
   roles: Roles
   host: SchedulerHost
   outbox: Outbox
+  random: Random
   /** Called when the scheduler did not answer in time, or no longer knows the request. */
   timedOut: (schedulerRequest: SchedulerRequest, now: number) => void
 }
@@ -43,15 +46,19 @@
   private readonly _pending = new Map<number, PendingRequest>()
   private readonly _skippedUntil = new Map<string, number>()
   private readonly _lastReceivedAt = new Map<string, number>()
+  private readonly _ramp: SchedulerRamp
 
   constructor (options: SchedulerClientOptions) {
     this._options = options
+    this._ramp = new SchedulerRamp(options.random)
   }
 
   /** Returns the entry to ask: the first of the cell's schedulers that is not skipped as unreachable, or this entry. */
   choose (cell: string, now: number): string {
     const { roles, roster } = this._options
-    for (const member of roles.schedulersOf(cell).slice(0, MAX_SCHEDULERS)) {
+    const schedulers = roles.schedulersOf(cell)
+    if (!this._ramp.asksSchedulers(schedulers.length > 0, now)) return roster.self.instance
+    for (const member of schedulers.slice(0, MAX_SCHEDULERS)) {
       if ((this._skippedUntil.get(member.instance) ?? -Infinity) <= now) return member.instance
     }
     return roster.self.instance
--- a/tests/schedulerLine.spec.ts
+++ b/tests/schedulerLine.spec.ts
@@ -1,22 +1,25 @@
 /** The line from an entry to the schedulers of its services, without a network. */
 import { expect } from 'chai'
 import {
-  newRequest, Outbox, SchedulerClient, type SchedulerRequest, type Member, type RequestSpec, type SchedulerClientOptions
+  newRequest, Outbox, SchedulerClient, SeededRandom, type SchedulerRequest, type Member, type RequestSpec, type SchedulerClientOptions
 } from '@gooseberryspan/core'
 
 const SCHEDULER = { instance: 'there' } as Member
 
 describe('scheduler line', () => {
   let timedOut: number[]
+  let schedulers: Member[]
   let line: SchedulerClient
 
   beforeEach(() => {
     timedOut = []
+    schedulers = [SCHEDULER]
     line = new SchedulerClient({
       roster: { self: { instance: 'here' }, get: () => SCHEDULER },
-      roles: { schedulersOf: () => [SCHEDULER] },
+      roles: { schedulersOf: () => schedulers },
       host: {},
       outbox: new Outbox(),
+      random: new SeededRandom(1),
       timedOut: (ask: SchedulerRequest) => void timedOut.push(ask.id)
     } as unknown as SchedulerClientOptions)
   })
@@ -48,4 +51,16 @@
     expect(timedOut).to.deep.equal([1])
     expect(line.choose('s', 151)).to.equal('here')
   })
+
+  it('should move to the schedulers some time after they have warmed up, when all entries have started together', () => {
+    schedulers = []
+    expect(line.choose('s', 0)).to.equal('here')
+    schedulers = [SCHEDULER]
+    expect(line.choose('s', 10)).to.equal('here')
+    expect(line.choose('s', 1010)).to.equal('there')
+  })
+
+  it('should ask a warm scheduler at once, when only this entry has started', () => {
+    expect(line.choose('s', 0)).to.equal('there')
+  })
 })
