Keep uploads in their availability zone while a server there answers nearly as soon

Change: a kilobyte that crosses zones counts like a millisecond that the caller waits longer, at most a quarter of the route's target. Operators pay for these bytes; callers still meet the target. A wait for a busy server is weighed without that.

--- a/packages/core/src/members/peerMessages.ts
+++ b/packages/core/src/members/peerMessages.ts
@@ -101,6 +101,8 @@
   /** Time that the caller was willing to wait when its request arrived. */
   waitMs: number
   avoid: string[]
+  /** Size of the body, if it is known. */
+  bodyBytes?: number
 }
 
 /** Grants a server to a request. */
--- a/packages/core/src/placement/candidates.ts
+++ b/packages/core/src/placement/candidates.ts
@@ -9,8 +9,10 @@
   record: ServerRecord
   /** Expected response time, in milliseconds. */
   responseMs: number
-  /** `responseMs` plus the delay for other requests on the server and the expected cost of a failure, in milliseconds. */
+  /** `responseMs` plus the delay for other requests on the server, the expected cost of a failure and `transferMs`, in milliseconds. */
   costMs: number
+  /** Cost of sending the body to another zone, as the time that a caller would wait instead, in milliseconds. */
+  transferMs: number
   /** Whether its load reading is recent enough to rely on. */
   fresh: boolean
   /** Whether the request would take its last slot. */
@@ -35,8 +37,16 @@
 
 /** A load reading of this age no longer predicts the pace of the machine. */
 const PACE_READING_LIFETIME_MS = 300
-/** Cost of sending to another zone: the network round trip and the transferred bytes. */
+/** Cost of sending to another zone: the network round trip. */
 const CROSS_ZONE_ROUND_TRIP_MS = 4
+/**
+ * Cost of sending a body to another zone, which operators pay by the byte. An upload stays in its zone unless a server of another zone
+ * is expected to answer so much sooner.
+ */
+const CROSS_ZONE_COST_MS_PER_KILOBYTE = 1
+const BYTES_PER_KILOBYTE = 1000
+/** Most of its target latency that a request may lose for staying in its zone. */
+const MAX_TRANSFER_TARGET_FRACTION = 0.25
 const COLD_SLOWDOWN_FACTOR = 2
 /** A failed attempt costs about this many times the work of the request. */
 const FAILURE_COST_FACTOR = 3
@@ -70,9 +80,16 @@
   const serverMs = work.durationMs(workMs, pace)
   const slowdownOfOthersMs = full ? (work.fullSlowdownRatio - 1) * baseMs * occupancy / 2 : 0
   const riskMs = baseMs * riskFactor(record, blame, now)
-  const networkMs = record.entry.zone === request.zone ? 0 : CROSS_ZONE_ROUND_TRIP_MS
+  const isSameZone = record.entry.zone === request.zone
+  const networkMs = isSameZone ? 0 : CROSS_ZONE_ROUND_TRIP_MS
+  const transferMs = isSameZone ? 0 : transferCostMs(request)
   const fresh = record.readingAgeMs(now) <= context.freshMs && record.sentSinceProbe(now) <= maxSentSinceProbe(context)
-  return { record, responseMs: serverMs + networkMs, costMs: serverMs + networkMs + slowdownOfOthersMs + riskMs, fresh, full, pace }
+  const responseMs = serverMs + networkMs
+  return { record, responseMs, costMs: responseMs + slowdownOfOthersMs + riskMs + transferMs, transferMs, fresh, full, pace }
+}
+
+function transferCostMs ({ bodyBytes, targetMs }: PlacementRequest): number {
+  return Math.min(bodyBytes / BYTES_PER_KILOBYTE * CROSS_ZONE_COST_MS_PER_KILOBYTE, targetMs * MAX_TRANSFER_TARGET_FRACTION)
 }
 
 /**
--- a/packages/core/src/placement/placementRequest.ts
+++ b/packages/core/src/placement/placementRequest.ts
@@ -41,6 +41,8 @@
   avoid: string[]
   /** Availability zone of the entry that will send it. */
   zone: string
+  /** Size of its body as far as it is known. */
+  bodyBytes: number
 }
 
 /** The decision to send a request to a server. */
--- a/packages/core/src/placement/scheduler.ts
+++ b/packages/core/src/placement/scheduler.ts
@@ -271,7 +271,8 @@
   /** Whether waiting for a busy server gives a better response time than the best candidate. */
   private _isWorthWaiting (waiting: WaitingRequest, best: Candidate, waitingAhead: number, now: number): boolean {
     const baseMs = this.work.baseMs(waiting.request.route, waiting.request.targetMs)
-    if (waiting.late || best.costMs <= baseMs * MIN_WAIT_GAIN_FACTOR) return false
+    const costMs = best.costMs - best.transferMs
+    if (waiting.late || costMs <= baseMs * MIN_WAIT_GAIN_FACTOR) return false
     const responseTimes: number[] = []
     for (const record of this._records.values()) {
       if (record.reach === 'silent' || record.outstanding.size === 0 || record.isCold(now)) continue
@@ -280,7 +281,7 @@
     }
     responseTimes.sort((a, b) => a - b)
     const responseAfterWaitMs = responseTimes[waitingAhead]
-    return responseAfterWaitMs !== undefined && responseAfterWaitMs * MIN_WAIT_GAIN_FACTOR < best.costMs &&
+    return responseAfterWaitMs !== undefined && responseAfterWaitMs * MIN_WAIT_GAIN_FACTOR < costMs &&
       now + responseAfterWaitMs + DEADLINE_MARGIN_MS < waiting.request.deadlineAt
   }
 
--- a/packages/core/src/placement/schedulerHost.ts
+++ b/packages/core/src/placement/schedulerHost.ts
@@ -380,7 +380,7 @@
 }
 
 function requestOf (id: string, from: Member, message: PlaceMessage, now: number): PlacementRequest {
-  const { label, service, cell, route, purpose, priority, targetMs, targetLeftMs, leftMs, waitMs, avoid } = message
+  const { label, service, cell, route, purpose, priority, targetMs, targetLeftMs, leftMs, waitMs, avoid, bodyBytes = 0 } = message
   return {
     id,
     label,
@@ -393,6 +393,7 @@
     waitMs,
     avoid,
     zone: from.zone,
+    bodyBytes,
     targetAt: now + targetLeftMs,
     deadlineAt: now + leftMs
   }
--- a/packages/core/src/requests/request.ts
+++ b/packages/core/src/requests/request.ts
@@ -16,6 +16,8 @@
   deadlineMs: number
   /** Whether its body is buffered, so that it can be sent again. */
   replayable: boolean
+  /** Size of its body, if it is known. */
+  bodyBytes?: number
   /** Whether a service further up the call chain has already retried it. */
   retrySpent: boolean
   /** Number of calls above this one in the call chain. */
--- a/packages/core/src/requests/schedulerClient.ts
+++ b/packages/core/src/requests/schedulerClient.ts
@@ -186,6 +186,7 @@
     targetLeftMs: Math.round(targetAt - now),
     leftMs: Math.round(expiresAt - now),
     waitMs: Math.round(spec.deadlineMs),
-    avoid
+    avoid,
+    bodyBytes: spec.bodyBytes
   }
 }
--- a/packages/entry/src/caller/callerListener.ts
+++ b/packages/entry/src/caller/callerListener.ts
@@ -41,6 +41,7 @@
     const mostBytes = node.core.declarations.limits!.bodyBytes
     readBody(request, { holdBytes: this._options.holdBytes, mostBytes }).then((body) => {
       spec.replayable = body.rest === undefined
+      spec.bodyBytes = body.length
       spec.deadlineMs -= node.now - startedAt
       if (request.socket.destroyed) return
       const exchange = new Exchange({ request, response, spec, body, dialect: node.dialect, isClosing: () => node.closing })
--- a/packages/entry/src/peers/datagramCodec.ts
+++ b/packages/entry/src/peers/datagramCodec.ts
@@ -27,7 +27,8 @@
   place: [
     ['ask', 'number'], ['label', 'string'], ['service', 'string'], ['cell', 'string'], ['route', 'string'], ['purpose', 'string'],
     ['priority', 'number'],
-    ['targetMs', 'number'], ['targetLeftMs', 'number'], ['leftMs', 'number'], ['waitMs', 'number'], ['avoid', 'strings']
+    ['targetMs', 'number'], ['targetLeftMs', 'number'], ['leftMs', 'number'], ['waitMs', 'number'], ['avoid', 'strings'],
+    ['bodyBytes', 'number?']
   ],
   granted: [['ask', 'number'], ['server', 'server'], ['expectedMs', 'number'], ['basis', 'object?']],
   queued: [['asks', 'numbers']],
--- a/packages/laboratory/src/placing/placingModel.ts
+++ b/packages/laboratory/src/placing/placingModel.ts
@@ -253,7 +253,8 @@
       waitMs: call.deadlineAt - call.arrivedAt,
       targetMs: kind.targetMs,
       avoid: call.triedServers,
-      zone: String(call.entry.zone)
+      zone: String(call.entry.zone),
+      bodyBytes: 0
     }
   }
 
--- a/tests/placement.spec.ts
+++ b/tests/placement.spec.ts
@@ -73,6 +73,7 @@
       targetMs: 200,
       avoid: [],
       zone: 'a',
+      bodyBytes: 0,
       ...changes
     }
   }
@@ -113,6 +114,30 @@
     expect(listener.grants).to.have.length(1)
   })
 
+  describe('with a large body', () => {
+    /** Places an upload of zone a, whose server runs at the given pace; that of zone b runs at its usual one. */
+    function placeUpload (bodyBytes: number, paceAtHome: number): string | undefined {
+      learn()
+      scheduler.setServers([server('home', { zone: 'a' }), server('abroad', { zone: 'b' })], 0)
+      answer('home', 0, { pace: paceAtHome })
+      answer('abroad', 0)
+      scheduler.place(request({ bodyBytes, targetAt: 400, targetMs: 400, deadlineAt: 1000 }), 1)
+      return listener.serverOf('r1')
+    }
+
+    it('should keep it in its zone while a server there answers nearly as soon', () => {
+      expect(placeUpload(60_000, 1.5)).to.equal('home')
+    })
+
+    it('should send it to another zone when its own would answer much later', () => {
+      expect(placeUpload(60_000, 4)).to.equal('abroad')
+    })
+
+    it('should not weigh zones for a request without a body', () => {
+      expect(placeUpload(0, 1.5)).to.equal('abroad')
+    })
+  })
+
   it('should count what it sent since a reading', () => {
     scheduler.setServers([server('a')], 0)
     answer('a', 0)
