--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -5,10 +5,11 @@
 import { Outbox, type Effect } from './effects.js'
 import type { AttemptEvent, Event, ProbedEvent, ReceivedEvent } from './events.js'
 import { Invariants, type InvariantReporter } from './invariants.js'
-import { isOutdated, newAddressBook, type AddressBook } from './members/addressBook.js'
+import type { AddressBook } from './members/addressBook.js'
 import { Joining, type PeerAddress } from './members/joining.js'
 import type { Member, MemberUpdate, Phase } from './members/member.js'
 import type { GrantedMessage, PeerMessage, PeerState, PeerStateQuery } from './members/peerMessages.js'
+import { Registration } from './members/registration.js'
 import { Roles } from './members/roles.js'
 import { Roster } from './members/roster.js'
 import { WarmUp } from './members/warmUp.js'
@@ -49,10 +50,6 @@
 /** Longest time between ticks, and so the granularity of periodic work that has no due time of its own. */
 const MAX_TICK_MS = 100
 
-/** An entry that has been change-feed leader for this long registers itself in the store. */
-const LEADER_REGISTRATION_DELAY_MS = 1500
-/** How often the change-feed leader checks for another registered leader, because entries may have split into two groups. */
-const LEADER_CHECK_INTERVAL_MS = 5000
 /** A gap this long between events means that this process was paused, since ticks come far more often. */
 const MIN_PAUSE_MS = 500
 /** Maximum number of addresses in one answer to a caller. */
@@ -73,11 +70,10 @@
   private readonly _options: EntryOptions
   private readonly _outbox = new Outbox()
   private readonly _joining: Joining
+  private readonly _registration: Registration
   private readonly _schedulerClient: SchedulerClient
   private readonly _warmUp = new WarmUp(MAX_ACTIVE_TICK_MS)
   private _now = 0
-  private _leaderSince: number | undefined
-  private _registeredAt = -Infinity
   private _stoppedAt: number | undefined
   private _hasExited = false
 
@@ -102,7 +98,7 @@
     const cells = new Cells({ catalog, declarations })
     this.cells = cells
     const ledger = new RowApplier({
-      reader: options.reader, declarations, catalog, outbox, serversChanged: (services, now) => this._serversChanged(services, now)
+      reader: options.reader, declarations, catalog, outbox, serversChanged: (services, now) => this.host.serversChanged(services, now)
     })
     this.replication = new StoreWatch({
       roster,
@@ -113,6 +109,7 @@
       rowsChanged: (table, rows, now) => ledger.apply(table, rows, now),
       storeRecovered: (now) => catalog.storeRecovered(now)
     })
+    this._registration = new Registration({ roster, roles, outbox, random })
     this._joining = new Joining({ roster, seeds, outbox, random, isFirstStart: options.isFirstStart })
     this.host = new SchedulerHost({ cells, random, declarations, roster, roles, outbox, tolerances: options.tolerances })
     this._schedulerClient = new SchedulerClient({
@@ -191,7 +188,7 @@
       case 'attempt-streaming': return this.requests.streamingStarted(event.attempt, now)
       case 'probed': return this._probed(event, now)
       case 'received': return this._received(event, now)
-      case 'pulled': return this._pulled(event.state, now)
+      case 'pulled': return event.state && this.replication.pulled(event.state, now)
       case 'table-read': return this.replication.tableRead(event.table, event.reading, now)
       case 'entries-found': return this._entriesFound(event.book, now)
       case 'stop': return this._stop(now)
@@ -206,7 +203,7 @@
     this.requests.tick(now)
     this._schedulerClient.tick(now)
     this.host.tick(now)
-    this._registerLeader(now)
+    this._registration.tick(this.phase === 'ready' && this.replication.hasAllTables, now)
     if (this.phase === 'ready' && !this.roster.self.isWarm && this._warmUp.ran(now)) this._announceWarm(now)
     this._exitIfIdle(now)
   }
@@ -223,11 +220,7 @@
 
   private _expire (now: number): void {
     const changedServices = this.catalog.expire(now)
-    if (changedServices.size > 0) this._serversChanged(changedServices, now)
-  }
-
-  private _serversChanged (services: Iterable<string> | undefined, now: number): void {
-    this.host.serversChanged(services, now)
+    if (changedServices.size > 0) this.host.serversChanged(changedServices, now)
   }
 
   private _attemptEnded ({ attempt, report, status }: AttemptEvent, now: number): void {
@@ -269,56 +262,23 @@
     this._outbox.send(from, { kind: 'report', ask, cell: this.cells.cellOf(server), route: '', server: server.id, report: UNUSED_REPORT })
   }
 
-  private _pulled (state: PeerState | undefined, now: number): void {
-    if (state) this.replication.pulled(state, now)
-  }
-
   private _memberUpdated ({ member, standing }: MemberUpdate): void {
     this._outbox.log({ decision: 'member', instance: member.instance, standing, reason: member.phase })
   }
 
-  /** Registers the known entries in the store as change-feed leader, so that entries that start while no seed answers can find them. */
-  private _registerLeader (now: number): void {
-    if (this.roles.leaderRank !== 0 || !this.replication.hasAllTables || this.phase !== 'ready') {
-      this._leaderSince = undefined
-      return
-    }
-    if (this._leaderSince === undefined) {
-      this._leaderSince = now
-      this._registeredAt = -Infinity
-      this._outbox.log({ decision: 'watching' })
-    }
-    if (now - this._leaderSince < LEADER_REGISTRATION_DELAY_MS || now - this._registeredAt < LEADER_CHECK_INTERVAL_MS) return
-    if (this._registeredAt > -Infinity) this._outbox.put({ kind: 'find-entries' })
-    else this._registerEntries()
-    this._registeredAt = now
-  }
-
-  private _registerEntries (): void {
-    this._outbox.put({ kind: 'register-entries', book: newAddressBook(this.roster, this._options.random) })
-  }
-
-  /**
-   * Handles the entries that the store names. If another entry is registered as leader, pings it. Registers the entries again when
-   * leader itself and the book names another leader or is outdated.
-   */
+  /** Handles the entries that the store names: those that ran before this one started, or those that a leader has registered. */
   private _entriesFound (book: AddressBook, now: number): void {
-    const { host, peerPort } = this.roster.self
-    const leader = book.addresses[0]
-    const isOwn = leader?.host === host && leader.port === peerPort
-    if (this._leaderSince !== undefined) {
-      if (!isOwn || isOutdated(book, this.roster)) this._registerEntries()
-    } else {
-      this._expectEntries(book.entryCount, now)
-    }
-    if (!isOwn || this._leaderSince === undefined) this._joining.entriesFound(book.addresses)
+    const { isLeader } = this._registration
+    if (isLeader) this._registration.check(book)
+    else this._expectEntries(book.entryCount, now)
+    if (!isLeader || !this._registration.namesSelf(book)) this._joining.entriesFound(book.addresses)
   }
 
   /** While this entry starts, prepares for the case that all entries start at the same time. */
   private _expectEntries (entryCount: number, now: number): void {
     if (this.phase !== 'starting') return
     this._outbox.log({ decision: 'entries-found', count: entryCount })
-    this.roster.expectEntries(entryCount, now)
+    this.roster.expected.expect(entryCount, now)
     this.replication.entriesExpected(entryCount, now)
   }
 
--- a/packages/core/src/members/memberTable.ts
+++ b/packages/core/src/members/memberTable.ts
@@ -54,6 +54,15 @@
     return this._records.size
   }
 
+  /** Members other than this process that are not considered dead. */
+  get others (): Member[] {
+    const others: Member[] = []
+    for (const { news } of this._records.values()) {
+      if (news.standing !== 'dead') others.push(news.member)
+    }
+    return others
+  }
+
   /** Members that this entry considers alive, this process first. */
   get alive (): readonly Member[] {
     if (!this._alive) {
--- a/packages/core/src/members/roster.ts
+++ b/packages/core/src/members/roster.ts
@@ -1,6 +1,7 @@
 /** Maintains the member list of an entry: pings detect changes and carry updates, and comparisons repair lists that differ. */
 import { TokenBucket } from '../budgets/tokenBucket.js'
 import { draw, type Random } from '../random.js'
+import { ExpectedEntries } from './expectedEntries.js'
 import { FailureDetector } from './failureDetector.js'
 import { ListRepair, MAX_UPDATES_PER_MESSAGE } from './listRepair.js'
 import { MAX_DIRECT_PEERS, type Member, type MemberUpdate, type Standing } from './member.js'
@@ -37,19 +38,17 @@
 const MAX_FORWARDS_PER_SECOND = 12
 /** The ping interval is shortened for this time after a difference between member lists was found. */
 const DIFFERENCE_FAST_PING_DURATION_MS = 250
-/** Time within which entries that lost power together start again. */
-const EXPECTATION_MS = 5000
 
 /** The members that this entry knows, and their standing. */
 export class Roster {
+  /** The entries that are expected to start at the same time as this one. */
+  readonly expected = new ExpectedEntries()
   private readonly _options: RosterOptions
   private readonly _table: MemberTable
   private readonly _detector: FailureDetector
   private readonly _pendingUpdates = new PendingUpdates()
   private readonly _repair: ListRepair
   private _peakAliveCount = 1
-  private _expectedCount = 0
-  private _expectedUntil = -Infinity
   private _nextExpiryAt = 0
   private readonly _forwardBudget = new TokenBucket(MAX_FORWARDS_PER_SECOND, MAX_FORWARDS_PER_SECOND, 0)
 
@@ -82,11 +81,7 @@
 
   /** Members that are not considered dead, excluding this entry. */
   get others (): Member[] {
-    const others: Member[] = []
-    for (const { news } of this._table.records) {
-      if (news.standing !== 'dead') others.push(news.member)
-    }
-    return others
+    return this._table.others
   }
 
   /** Whether the cluster is so large that broadcasts are forwarded by some of the receivers. */
@@ -96,16 +91,7 @@
 
   /** The highest number of members that were alive at the same time, or that this entry expects after its start. */
   get most (): number {
-    return Math.max(this._peakAliveCount, this._expectedCount)
-  }
-
-  /**
-   * Records how many entries were running before this one started. Until they have had time to appear, this entry counts as one of
-   * that many, so that it takes only its share of the limits that hold for all entries together.
-   */
-  expectEntries (entryCount: number, now: number): void {
-    this._expectedCount = entryCount
-    this._expectedUntil = now + EXPECTATION_MS
+    return Math.max(this._peakAliveCount, this.expected.count)
   }
 
   /** Time at which the next periodic work is due. */
@@ -139,7 +125,7 @@
 
   /** Creates a ping that introduces this entry to an entry of which only the address is known. */
   introductionPing (): Ping {
-    return { ...this._detector.introductionPing(), entryCount: this._expectedCount > 0 ? this._expectedCount : undefined }
+    return { ...this._detector.introductionPing(), entryCount: this.expected.count || undefined }
   }
 
   /**
@@ -200,7 +186,7 @@
 
   tick (now: number): void {
     this._detector.tick(now)
-    if (now >= this._expectedUntil) this._expectedCount = 0
+    this.expected.tick(now)
     if (now < this._nextExpiryAt) return
     this._nextExpiryAt = now + EXPIRY_INTERVAL_MS
     this._expireMembers(now)
--- a/utils/mutations.mjs
+++ b/utils/mutations.mjs
@@ -22,7 +22,7 @@
   ['cold-limit', 'placement/candidates.js', '&& record.sentSinceProbe(now) <= maxSentSinceProbe(context)', '', [
     ['placement/candidates.js', 'if (context.asks && record.sentSinceProbe(now) > maxSentSinceProbe(context) + record.slots)', 'if (false)']
   ]],
-  ['cold-limit', 'placement/schedulerHost.js', 'return 1 / (2 * roster.most);', 'return 1;', [
+  ['cold-limit', 'placement/schedulerHost.js', 'return Math.min(SCHEDULER_SHARE_FRACTION, 1 / (2 * roster.most));', 'return 1;', [
     ['placement/schedulerHost.js', 'const SCHEDULER_SHARE_FRACTION = 0.33', 'const SCHEDULER_SHARE_FRACTION = 1.5']
   ]],
   ['retry-budget', 'budgets/retryBudget.js', 'return this._spent.total(now) + 1 <= this._allowed(share, now);', 'return true;', [
@@ -49,7 +49,7 @@
     ['store/storeAccess.js', 'if (overdueMs <= 0)', 'if (true)']
   ]],
   ['one-membership', 'members/joining.js', 'if (!known.has(', 'if (false && known.has(', [
-    ['entryCore.js', 'if (this._registeredAt > -Infinity)', 'if (false)']
+    ['members/registration.js', 'if (this._registeredAt > -Infinity)', 'if (false)']
   ]],
   ['one-membership', 'members/roster.js', 'this._table.restate({ ...self, sequence });\n        this._restate({}, now);', ''],
   ['overflow', 'placement/overflow.js', 'if (pressure <= MAX_PRESSURE_WITHOUT_OVERFLOW)', 'if (true)', [
