--- a/packages/core/src/members/joining.ts
+++ b/packages/core/src/members/joining.ts
@@ -46,22 +46,22 @@
   private _nextStoreLookupAt: number | undefined
   private _registered: PeerAddress[] = []
   /** A seed asks the store once in any case, because the seeds may know each other but not the entries that started before them. */
-  private _isSeedWithoutLookup: boolean
+  private _seedLookupIsPending: boolean
 
   constructor (options: JoiningOptions) {
     this._options = options
-    this._isSeedWithoutLookup = !options.isFirstStart && options.seeds.some((seed) => this._isOwn(seed))
+    this._seedLookupIsPending = !options.isFirstStart && options.seeds.some((seed) => this._isOwn(seed))
   }
 
   tick (now: number): void {
     this._nextStoreLookupAt ??= now + this._lookupDelayMs()
-    if (this._options.roster.others.length > 0 && !this._isSeedWithoutLookup) {
+    if (this._options.roster.others.length > 0 && !this._seedLookupIsPending) {
       if (now >= this._nextAttemptAt) this._introduceToUnknownSeeds(now)
       return
     }
     if (now >= this._nextStoreLookupAt) {
       this._nextStoreLookupAt = now + STORE_LOOKUP_INTERVAL_MS
-      this._isSeedWithoutLookup = false
+      this._seedLookupIsPending = false
       this._options.outbox.put({ kind: 'find-entries' })
     }
     if (now < this._nextAttemptAt) return
@@ -80,7 +80,7 @@
   private _lookupDelayMs (): number {
     const { isFirstStart, random } = this._options
     if (isFirstStart) return FIRST_START_LOOKUP_DELAY_MS
-    return this._isSeedWithoutLookup ? 0 : STORE_LOOKUP_DELAY_MS + random.next() * STORE_LOOKUP_SPREAD_MS
+    return this._seedLookupIsPending ? 0 : STORE_LOOKUP_DELAY_MS + random.next() * STORE_LOOKUP_SPREAD_MS
   }
 
   private _introduceToUnknownSeeds (now: number): void {
