--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -5,8 +5,7 @@
 import { InvalidSettings } from './errors.js'
 
 const ADDRESS = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/
-/** An IP number and a port. */
-export const addressSchema = z.string().regex(ADDRESS, 'must be an IP number and a port, like 10.0.1.10:8080')
+const addressSchema = z.string().regex(ADDRESS, 'must be an IP number and a port, like 10.0.1.10:8080')
 
 /** Treats null and the empty string as absent, since a platform's settings template may leave a value empty. */
 const optional = <T extends z.ZodType>(schema: T) => z.preprocess((value) => value === null || value === '' ? undefined : value, schema)
--- a/tests/store.spec.ts
+++ b/tests/store.spec.ts
@@ -1,6 +1,7 @@
 /** The store's client against a stand-in that misbehaves, and the copies that entries keep. */
 import { expect } from 'chai'
 import { Replica, SeededRandom, type StoredRow } from '@gooseberryspan/core'
+import { decodeAddressBook, encodeAddressBook } from '@gooseberryspan/entry'
 import { HttpClient, HttpStore, DefaultStoreProtocol, DefaultRowReader, StoreUnavailable } from '@gooseberryspan/store'
 import { StoreServer } from '@gooseberryspan/standins'
 
@@ -141,3 +142,24 @@
     expect(reader.declaration(row('note', 1, 'anything'))).to.deep.equal({ kind: 'other' })
   })
 })
+
+describe('registered entries', () => {
+  const [first, second] = [{ host: '10.0.1.10', port: 8081 }, { host: '10.0.2.10', port: 8082 }]
+
+  it('should be read as they were written, the leader first', () => {
+    const book = { addresses: [first, second], entryCount: 19 }
+    expect(decodeAddressBook(encodeAddressBook(book))).to.deep.equal(book)
+  })
+
+  it('should name the leader alone in a row of an earlier version', () => {
+    expect(decodeAddressBook(JSON.stringify(first))).to.deep.equal({ addresses: [first], entryCount: 1 })
+  })
+
+  it('should name nobody in a row that is not one', () => {
+    for (const value of [
+      '', '{', '[]', '{"host":1,"port":1}', '{"host":"h","port":1,"entries":["h:1"]}', '{"host":"h","port":1,"count":0}'
+    ]) {
+      expect(decodeAddressBook(value), value).to.equal(undefined)
+    }
+  })
+})
