--- a/packages/core/src/store/storeWatch.ts
+++ b/packages/core/src/store/storeWatch.ts
@@ -69,8 +69,8 @@
   private _nextHeartbeatAt = 0
   private _nextPullAt = 0
   private _pullPauseMs = INITIAL_PULL_PAUSE_MS
-  /** Time from which this entry, without replicas, reads the store as long as no ready entry is known. */
-  private _initialReadAt = Infinity
+  /** Time from which this entry, without replicas, reads the store as long as no ready entry is known; drawn once. */
+  private _initialReadAt: number | undefined
 
   constructor (options: StoreWatchOptions) {
     this._options = options
@@ -113,9 +113,7 @@
 
   /** Handles the number of entries that were running before this one started. */
   entriesExpected (entryCount: number, now: number): void {
-    if (this._initialReadAt === Infinity && this._options.random.next() * entryCount < MAX_INITIAL_READERS) {
-      this._initialReadAt = now + READY_ENTRY_WAIT_MS
-    }
+    this._initialReadAt ??= this._options.random.next() * entryCount < MAX_INITIAL_READERS ? now + READY_ENTRY_WAIT_MS : Infinity
   }
 
   /** Handles the result of reading a table from the store. */
@@ -205,7 +203,7 @@
     if (this._waitsForFirstTable(table, reader)) return false
     if (reader.replica.version !== undefined) return this._access.mayRead(now - reader.replica.confirmedAt)
     if (this._options.isSeed || this._access.mayReadInitially(now - this._startedAt!)) return true
-    return now >= this._initialReadAt && this._readyEntries().length === 0
+    return this._initialReadAt !== undefined && now >= this._initialReadAt && this._readyEntries().length === 0
   }
 
   private _readyEntries (): Member[] {
