--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -166,10 +166,10 @@
     process.stdout.write(`${['held', 'broken', 'could not run'][code]}\n`)
     process.exit(code)
   }
-  for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => void finish(NOT_RUN))
+  for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => finish(NOT_RUN))
   setTimeout(() => {
     deployment.note('the case took too long')
-    void finish(NOT_RUN)
+    finish(NOT_RUN)
   }, CASE_TIMEOUT_MS).unref()
   deployment.note(trouble ? 'with the disruption' : 'without the disruption (TROUBLE=0)')
   try {
