--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,84 +1,81 @@
-/** Some backend servers of a service spoil a fiftieth of their answers. Counts the requests that are cut off at sound servers. */
+/** An entry stands still for 3.5 s just after callers have connected to it. Looks for orders that are answered 408 and run. */
 import { setTimeout as pause } from 'node:timers/promises'
 import { Connection, requestBytes } from '../lib/connection.mjs'
 import { newId, runCase, trouble } from '../lib/deployment.mjs'
 
-const SERVICE = 'allocations'
-const PATH = '/allocations/'
-const SERVERS = 12
-/** `garble` at its default share, .5, and x, .02, for 5 s. */
-const SPOILT_SHARE = 0.5
-const SPOILT_EVERY = 50
-const SPOILT_FOR_MS = 5000
-const CALLERS_PER_ENTRY = 12
-const PAUSE_MS = 150
-const WORK_MS = 100
-const DEADLINE_MS = 2500
-const LENGTH_MS = 9000
-/** More than three of them break the rule. */
-const ALLOWED = 3
+const SERVICE = 'orders'
+const PATH = '/orders/'
+const SERVERS = 6
+const WORK_MS = 80
+/** `node_freeze` with the length that the site file names. */
+const FROZEN_MS = 3500
+const CALLERS = 8
+/** Callers connect, and send their orders this long after; the limit `header_timeout_ms` is 3,000. */
+const THINKING_MS = 300
+const DEADLINE_MS = 5238
+/** The links to callers take 1 ms one way: a caller's close reaches the entry this long after the entry has answered. */
+const ROUND_TRIP_MS = 2
+const PROMISES = new Set([408, 421, 429, 503])
 
 await runCase(import.meta.dirname, async (deployment) => {
-  const faulty = new Set()
-  const ranAt = new Map()
-  let spoiling = false
-  let answers = 0
-  let spoilt = 0
-  const answer = ({ response, id, body, backend }) => {
-    if (!spoiling || !faulty.has(backend)) return false
-    answers += 1
-    if (answers % SPOILT_EVERY !== 0) return false
-    spoilt += 1
-    deployment.note(`server ${backend.id} spoils its answer to ${id}: one byte of its head becomes a space`)
-    const head = [
-      'HTTP/1.1 200 OK', `Request-Id: ${id}`, `Server-Stamp: stamp.${id}`, 'Content Type: text/plain', `Content-Length: ${body.length}`
-    ]
-    response.socket.write(`${head.join('\r\n')}\r\n\r\n${body}`)
-    setTimeout(() => response.socket?.end(), 20)
-    return true
-  }
+  const runs = new Map()
   await deployment.start({
-    routes: [{ name: 'r-check', host: 'a.example', prefix: PATH, route_type: 'safe', service: SERVICE, timeout_ms: DEADLINE_MS }],
+    routes: [{ name: 'r-order', host: 'a.example', prefix: PATH, route_type: 'unsafe', service: SERVICE, timeout_ms: DEADLINE_MS }],
     services: [SERVICE],
     backends: Array.from({ length: SERVERS }, () => ({
-      service: SERVICE, workMs: WORK_MS, answer, onRun: (id, request, backend) => ranAt.set(id, backend)
+      service: SERVICE,
+      workMs: WORK_MS,
+      onRun: (id, request, backend) => {
+        runs.set(id, (runs.get(id) ?? 0) + 1)
+        deployment.note(`server ${backend.id} runs request ${id}`)
+      }
     }))
   })
-  for (const backend of deployment.backends.slice(0, SERVERS * SPOILT_SHARE)) faulty.add(backend)
-
-  const counts = { sent: 0, served: 0, refused: 0, cutAtSound: 0, otherCuts: 0 }
-  const endAt = performance.now() + LENGTH_MS
-  const call = async (entry) => {
-    let connection = new Connection(entry)
-    while (performance.now() < endAt) {
-      if (connection.closed) connection = new Connection(entry)
-      const isKept = connection.served > 0
-      const id = newId()
-      counts.sent += 1
-      const result = await connection.send(requestBytes({ path: `${PATH}${id}`, id, deadlineMs: DEADLINE_MS }), { timeoutMs: DEADLINE_MS })
-      const server = ranAt.get(id)
-      if (result.status === 200) counts.served += 1
-      else if (!result.lost) counts.refused += 1
-      else if (isKept && server && !faulty.has(server)) {
-        counts.cutAtSound += 1
-        deployment.note(`request ${id}, from a kept connection, ran at the sound server ${server.id}; ${entry.name} closed without an answer`)
-      } else counts.otherCuts += 1
-      if (result.silent) connection.end()
-      await pause(PAUSE_MS)
-    }
-    connection.end()
-  }
-  const callers = deployment.entries.flatMap((entry) => Array.from({ length: CALLERS_PER_ENTRY }, () => call(entry)))
-  await pause(2000)
+  // This entry, front-gampaha-2, is the scheduler of the service: rendezvous hashing of the names chooses it.
+  const entry = deployment.entries[1]
+  let refusedAndRan = 0
+  const connections = Array.from({ length: CALLERS }, () => new Connection(entry))
+  await Promise.all(connections.map(({ opened }) => opened))
+  deployment.note(`${CALLERS} callers have connected to ${entry.name}`)
+  await pause(THINKING_MS / 2)
   if (trouble) {
-    spoiling = true
-    deployment.note(`from now on ${faulty.size} of ${SERVERS} servers spoil one in ${SPOILT_EVERY} of their answers`)
+    entry.process.kill('SIGSTOP')
+    deployment.note(`${entry.name} stands still`)
+    setTimeout(() => {
+      entry.process.kill('SIGCONT')
+      deployment.note(`${entry.name} wakes again`)
+    }, FROZEN_MS)
+  }
+  await pause(THINKING_MS / 2)
+  const place = async (connection, number, deadlineMs) => {
+    const id = newId()
+    deployment.note(`caller ${number} sends its order as request ${id}`)
+    const body = Buffer.from('12 copies')
+    const result = await connection.send(
+      requestBytes({ method: 'POST', path: `${PATH}${number}`, id, deadlineMs, body }), { timeoutMs: deadlineMs }
+    )
+    deployment.note(`request ${id} of caller ${number} is answered: ${result.status ?? (result.lost ? 'connection closed' : 'nothing')}`)
+    setTimeout(() => connection.end(), ROUND_TRIP_MS)
+    return { id, number, status: result.status }
+  }
+  const orders = connections.map(async (connection, number) => {
+    const until = deployment.now + DEADLINE_MS
+    const first = await place(connection, number, DEADLINE_MS)
+    // After a promise that the order has not run, a caller sends it once more, on a new connection.
+    if (PROMISES.has(first.status)) first.again = await place(new Connection(deployment.entries[0]), number, until - deployment.now)
+    return first
+  })
+  const results = await Promise.all(orders)
+  await pause(1500)
+  let doubled = 0
+  for (const { id, number, status, again } of results) {
+    if (!PROMISES.has(status) || !runs.has(id)) continue
+    refusedAndRan += 1
+    deployment.note(`request ${id} was answered ${status}, which promises that it never runs, and ran ${runs.get(id)} time(s)`)
+    if (!again || !runs.has(again.id)) continue
+    doubled += 1
+    deployment.note(`so the order of caller ${number} ran twice: as ${id} and as ${again.id}`)
   }
-  await pause(SPOILT_FOR_MS)
-  spoiling = false
-  deployment.note('the servers are sound again')
-  await Promise.all(callers)
-  const ends = deployment.entries.flatMap(({ ends: each }) => each)
-  deployment.note(`requests: ${JSON.stringify(counts)}; spoilt answers: ${spoilt}; entry processes that ended by themselves: ${ends.length}`)
-  return counts.cutAtSound <= ALLOWED
+  deployment.note(`orders: ${results.length}; answered 200: ${results.filter(({ status }) => status === 200).length}; refused and ran: ${refusedAndRan}; orders that ran twice in this way: ${doubled}`)
+  return refusedAndRan === 0
 })
