--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -34,6 +34,8 @@
       counts.sent += 1
       const result = await connection.send(requestBytes({ path: `${PATH}${id}`, id, deadlineMs: DEADLINE_MS }), { timeoutMs: DEADLINE_MS })
       const server = ranAt.get(id)
+      const end = result.status ?? (result.lost ? 'connection closed' : 'no answer')
+      deployment.note(`${id} sent to ${entry.name}, ${isKept ? 'kept' : 'new'} connection, ran at ${server?.id ?? '-'}: ${end}`)
       if (result.status === 200) {
         counts.served += 1
         if (result.at > endAt - 4000) counts.servedInLastSeconds += 1
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -167,6 +167,10 @@
     process.exit(code)
   }
   for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => finish(NOT_RUN))
+  process.on('uncaughtException', (error) => {
+    deployment.note(`error of a stand-in: ${error.stack}`)
+    finish(NOT_RUN)
+  })
   setTimeout(() => {
     deployment.note('the case took too long')
     finish(NOT_RUN)
