Read pending input before a timeout rejects a connection, and run nothing that is read after a rejection

Cause: Node runs due timers before it reads sockets, so the header timeout expired before the orders were read that had arrived in time; and the rejection ended only the sending side, so the parser stayed attached and the next request on the connection was accepted.

Evidence: the log of the paused entry has malformed-request (ERR_HTTP_REQUEST_TIMEOUT) for the 8 connections and 40 ms later dispatched with the ids of the same orders, from the same process. malformed-request now names the caller's address.

Change: a rejected connection hands over no request any more and is closed after a second. Timeouts on input (header, idle connection, probe, connection to a backend server) expire only after pending input was read.

--- a/packages/entry/src/backend/backendClient.ts
+++ b/packages/entry/src/backend/backendClient.ts
@@ -5,6 +5,7 @@
 import type { Exchange } from '../caller/exchange.js'
 import type { Dialect } from '../dialect.js'
 import { forwardedHeaders, singleHeader } from '../headers.js'
+import { InputTimeout } from '../pendingInput.js'
 import { readAnswer, type Answer } from './answer.js'
 import { BackendAgent } from './backendAgent.js'
 
@@ -204,12 +205,12 @@
       made = true
       return
     }
-    const timer = setTimeout(() => call.destroy(new Error('backend server did not accept the connection in time')), connectMs)
+    const timeout = new InputTimeout(connectMs, () => call.destroy(new Error('backend server did not accept the connection in time')))
     socket.once('connect', () => {
       made = true
-      clearTimeout(timer)
+      timeout.clear()
     })
-    socket.once('close', () => clearTimeout(timer))
+    socket.once('close', () => timeout.clear())
   })
   return { established: () => made }
 }
--- a/packages/entry/src/backend/probeClient.ts
+++ b/packages/entry/src/backend/probeClient.ts
@@ -3,6 +3,7 @@
 import type { ProbeAnswer, RegisteredServer } from '@gooseberryspan/core'
 import type { Dialect } from '../dialect.js'
 import { singleHeader, parseNonNegativeInteger } from '../headers.js'
+import { InputTimeout } from '../pendingInput.js'
 import { BackendAgent } from './backendAgent.js'
 
 /** Options of a `ProbeClient`. */
@@ -39,7 +40,7 @@
     const end = (result: ProbeResult): void => {
       if (ended) return
       ended = true
-      clearTimeout(timer)
+      timeout.clear()
       done(result)
     }
     const call = request({
@@ -49,7 +50,7 @@
       message.on('error', () => {})
       message.on('close', () => end(message.complete ? this._readAnswer(message, server) : {}))
     })
-    const timer = setTimeout(() => call.destroy(new Error('no answer to the probe in time')), this._options.timeoutMs)
+    const timeout = new InputTimeout(this._options.timeoutMs, () => call.destroy(new Error('no answer to the probe in time')))
     call.on('error', () => end({}))
     call.end()
   }
--- a/packages/entry/src/runtime/httpListener.ts
+++ b/packages/entry/src/runtime/httpListener.ts
@@ -1,6 +1,7 @@
 /** A Node HTTP server that can shut down gracefully. */
 import { createServer, type RequestListener, type Server } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
+import { afterPendingInput } from '../pendingInput.js'
 
 /** Limits on how long a client can keep a connection waiting. */
 export interface ListenerTimeouts {
@@ -14,23 +15,38 @@
 export interface ListenerOptions extends ListenerTimeouts {
   host: string
   port: number
-  /** Called with the error code when a request could not be parsed and was rejected. */
-  onMalformed?: (code: string) => void
+  /** Called with the error code and the caller's address when a request could not be read in time or parsed, and was rejected. */
+  onRejected?: (code: string, caller: string) => void
+  /** Called when a request is dropped because it was read after its connection had been rejected. */
+  onDropped?: (caller: string) => void
+}
+
+/** What is known about one connection. */
+interface ConnectionState {
+  /** Number of requests whose header has been read. */
+  requestsRead: number
+  /** Number of requests that have been read and not answered. */
+  unanswered: number
+  /** Whether a rejection was sent. It promises the caller that nothing read later on this connection runs. */
+  rejected: boolean
 }
 
 /** Limits memory use. The request handlers enforce lower header limits and answer with a status of their own. */
 const MAX_HEADER_BYTES = 262_144
 const CONNECTION_CHECK_INTERVAL_MS = 250
+/** How long a rejected connection stays open, so that the caller can read the rejection before the connection is closed. */
+const REJECTED_LINGER_MS = 1000
+const HEADER_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
 const ERROR_STATUS_LINES: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+  [HEADER_TIMEOUT_CODE]: '408 Request Timeout'
 }
 
 /** An HTTP server on one port. */
 export class HttpListener {
   private readonly _server: Server
   private readonly _options: ListenerOptions
-  private readonly _unansweredRequests = new WeakMap<Socket, number>()
+  private readonly _connections = new WeakMap<Socket, ConnectionState>()
 
   constructor (listener: RequestListener, options: ListenerOptions) {
     this._options = options
@@ -38,11 +54,17 @@
       maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS
     }, (request, response) => {
       const { socket } = request
-      this._unansweredRequests.set(socket, (this._unansweredRequests.get(socket) ?? 0) + 1)
-      response.once('finish', () => this._unansweredRequests.set(socket, (this._unansweredRequests.get(socket) ?? 1) - 1))
+      const connection = this._stateOf(socket)
+      if (connection.rejected) return this._options.onDropped?.(callerOf(socket))
+      connection.requestsRead += 1
+      connection.unanswered += 1
+      response.once('finish', () => {
+        connection.unanswered -= 1
+      })
       listener(request, response)
     })
-    this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => this._rejectMalformed(error, socket as Socket))
+    this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => this._handleError(error, socket as Socket))
+    this._server.on('timeout', (socket) => this._closeIdle(socket))
     this.setTimeouts(options)
   }
 
@@ -81,13 +103,47 @@
     return (this._server.address() as AddressInfo).port
   }
 
+  private _stateOf (socket: Socket): ConnectionState {
+    let connection = this._connections.get(socket)
+    if (!connection) {
+      connection = { requestsRead: 0, unanswered: 0, rejected: false }
+      this._connections.set(socket, connection)
+    }
+    return connection
+  }
+
+  private _handleError (error: NodeJS.ErrnoException, socket: Socket): void {
+    const code = error.code ?? 'unknown'
+    if (code !== HEADER_TIMEOUT_CODE) return this._reject(code, socket)
+    const connection = this._stateOf(socket)
+    const { requestsRead } = connection
+    afterPendingInput(() => {
+      if (connection.requestsRead === requestsRead) this._reject(code, socket)
+    })
+  }
+
   /**
-   * Answers a malformed request with an error status. If earlier requests on the connection have no answer yet, the connection is closed
-   * instead, since the caller would take the error for the answer to one of them.
+   * Answers with an error status a request that could not be read. If earlier requests on the connection have no answer yet, the connection
+   * is closed instead, since the caller would take the error for the answer to one of them.
    */
-  private _rejectMalformed (error: NodeJS.ErrnoException, socket: Socket): void {
-    this._options.onMalformed?.(error.code ?? 'unknown')
-    if (!socket.writable || error.code === 'ECONNRESET' || (this._unansweredRequests.get(socket) ?? 0) > 0) return void socket.destroy()
-    socket.end(`HTTP/1.1 ${ERROR_STATUS_LINES[error.code ?? ''] ?? '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+  private _reject (code: string, socket: Socket): void {
+    const connection = this._stateOf(socket)
+    this._options.onRejected?.(code, callerOf(socket))
+    connection.rejected = true
+    if (!socket.writable || code === 'ECONNRESET' || connection.unanswered > 0) return void socket.destroy()
+    socket.end(`HTTP/1.1 ${ERROR_STATUS_LINES[code] ?? '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    const timer = setTimeout(() => socket.destroy(), REJECTED_LINGER_MS)
+    socket.once('close', () => clearTimeout(timer))
+  }
+
+  private _closeIdle (socket: Socket): void {
+    const { bytesRead } = socket
+    afterPendingInput(() => {
+      if (socket.bytesRead === bytesRead) socket.destroy()
+    })
   }
 }
+
+function callerOf ({ remoteAddress, remotePort }: Socket): string {
+  return `${remoteAddress}:${remotePort}`
+}
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -83,12 +83,13 @@
   const components: { node?: EntryNode, callers?: CallerListener, directory?: DirectoryListener } = {}
 
   const callerAddress = parseHostPort(settings.callers.address)
-  const onMalformed = (code: string): void => log.info({ decision: 'malformed-request', reason: code })
+  const onRejected = (reason: string, caller: string): void => log.info({ decision: 'malformed-request', reason, caller })
+  const onDropped = (caller: string): void => log.info({ decision: 'request-dropped', reason: 'connection-rejected', caller })
   const callerServer = new HttpListener((request, response) => {
     const isDirectoryRequest = settings.directory.address === undefined && components.directory!.serves(request.url ?? '/')
     const { listener } = isDirectoryRequest ? components.directory! : components.callers!
     listener(request, response)
-  }, { ...callerAddress, ...DEFAULT_TIMEOUTS, onMalformed })
+  }, { ...callerAddress, ...DEFAULT_TIMEOUTS, onRejected, onDropped })
   const peerAddress = parseHostPort(settings.peers.address)
   const { token } = settings.peers
   const peerServer = new HttpListener(peerListener({ token, source: { stateFor: (query) => components.node!.stateFor(query) } }), {
--- a/tests/entry.spec.ts
+++ b/tests/entry.spec.ts
@@ -1,18 +1,7 @@
 /** Entry processes end to end over loopback. */
 import { expect } from 'chai'
-import { connect, type Socket } from 'node:net'
 import type { AnswerFault } from '@gooseberryspan/standins'
-import { Deployment, HOST, REQUEST_ID, send, smallDocument, waitUntil } from './fixtures/deployment.js'
-
-/** Writes to an entry's port as it is and gathers what comes back. */
-function raw (port: number, text: string): { socket: Socket, ended: Promise<string> } {
-  const socket = connect(port, HOST)
-  let got = ''
-  socket.on('data', (part) => { got += part.toString() })
-  socket.on('error', () => {})
-  socket.write(text)
-  return { socket, ended: new Promise((resolve) => socket.on('close', () => resolve(got))) }
-}
+import { Deployment, openRaw, REQUEST_ID, send, smallDocument, waitUntil } from './fixtures/deployment.js'
 
 describe('entry', () => {
   let deployment: Deployment
@@ -71,14 +60,14 @@
 
   it('should end a connection whose headers come too slowly', async () => {
     await deployment.start(smallDocument(), [{}], ['a'])
-    const { ended } = raw(deployment.portOf(0), 'GET /orders HTTP/1.1\r\nhost: x\r\n')
+    const { ended } = openRaw(deployment.portOf(0), 'GET /orders HTTP/1.1\r\nhost: x\r\n')
     expect(await ended).to.match(/^HTTP\/1\.1 408/)
   })
 
   it('should answer requests that were sent without waiting in their order', async () => {
     await deployment.start(smallDocument(), [{ meanMs: 40 }, { meanMs: 40 }], ['a'])
     const one = (name: string): string => `GET /orders HTTP/1.1\r\nhost: x\r\n${REQUEST_ID}: ${name}\r\n\r\n`
-    const { socket, ended } = raw(deployment.portOf(0), ['p1', 'p2', 'p3'].map(one).join(''))
+    const { socket, ended } = openRaw(deployment.portOf(0), ['p1', 'p2', 'p3'].map(one).join(''))
     setTimeout(() => socket.end(), 600)
     const names = [...(await ended).matchAll(/"request":"(p\d)"/g)].map((match) => match[1])
     expect(names).to.deep.equal(['p1', 'p2', 'p3'])
@@ -87,7 +76,7 @@
   it('should refuse a request with two lengths and not read another one out of it', async () => {
     await deployment.start(smallDocument(), [{}], ['a'])
     const inner = `GET /orders HTTP/1.1\r\nhost: x\r\n${REQUEST_ID}: smuggled\r\n\r\n`
-    const { ended } = raw(deployment.portOf(0),
+    const { ended } = openRaw(deployment.portOf(0),
       `POST /orders HTTP/1.1\r\nhost: x\r\ncontent-length: ${inner.length}\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n${inner}`)
     expect(await ended).to.match(/^HTTP\/1\.1 400/)
     expect(deployment.truth.runCount('smuggled')).to.equal(0)
@@ -95,7 +84,7 @@
 
   it('should pass a body on that came in chunks', async () => {
     await deployment.start(smallDocument(), [{}], ['a'])
-    const { socket, ended } = raw(deployment.portOf(0),
+    const { socket, ended } = openRaw(deployment.portOf(0),
       'POST /orders HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n')
     setTimeout(() => socket.end(), 200)
     expect(await ended).to.include('"bytes":11')
@@ -172,7 +161,7 @@
       const [backend] = deployment.backends
       backend!.faults.answerFault = spoil
       const head = `POST /orders HTTP/1.1\r\nhost: x\r\ngooseberryspan-deadline-ms: 400\r\n${REQUEST_ID}: m\r\ncontent-length: 1\r\n\r\nx`
-      const { socket } = raw(deployment.portOf(0), head)
+      const { socket } = openRaw(deployment.portOf(0), head)
       await waitUntil(() => deployment.truth.runCount('m') === 1)
       socket.destroy()
       await waitUntil(() => backend!.endlessNow === 0 && deployment.entries[0]!.node.core.requests.open === 0)
@@ -215,7 +204,7 @@
 
   it('should cancel a read whose caller has left', async () => {
     await deployment.start(smallDocument(), [{ meanMs: 5000 }], ['a'])
-    const { socket } = raw(deployment.portOf(0), 'GET /orders HTTP/1.1\r\nhost: x\r\n\r\n')
+    const { socket } = openRaw(deployment.portOf(0), 'GET /orders HTTP/1.1\r\nhost: x\r\n\r\n')
     await waitUntil(() => deployment.backends[0]!.load === 1)
     socket.destroy()
     await waitUntil(() => deployment.backends[0]!.load === 0)
@@ -223,7 +212,7 @@
 
   it('should let an order whose caller has left run to its end', async () => {
     await deployment.start(smallDocument(), [{ meanMs: 300 }], ['a'])
-    const { socket } = raw(deployment.portOf(0), `POST /orders HTTP/1.1\r\nhost: x\r\n${REQUEST_ID}: m\r\ncontent-length: 1\r\n\r\nx`)
+    const { socket } = openRaw(deployment.portOf(0), `POST /orders HTTP/1.1\r\nhost: x\r\n${REQUEST_ID}: m\r\ncontent-length: 1\r\n\r\nx`)
     await waitUntil(() => deployment.backends[0]!.load === 1)
     socket.destroy()
     await new Promise((resolve) => setTimeout(resolve, 50))
