Check the heads of answers and requests where they are read, and let a failing effect end only its own request

Cause: Node's parser accepts heads that its writing side refuses. writeHead (answers) and http.request (callers' requests) threw on them, `new URL` on the directory's path `//`, and an exception while one effect was executed ended the process.

Evidence: exit code 1 with ERR_INVALID_HTTP_TOKEN on standard error.

Change: an answer with a malformed head counts as lost and its connection is closed; a malformed request is answered 400; the directory splits the path itself. A throwing effect ends its own request (lost, never "not run") or probe, with a log line and a count.

--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -197,6 +197,7 @@
   | 'store-lost'
   | 'store-regained'
   | 'store-history-lost'
+  | 'effect-failed'
   | 'left'
 
 export type Effect =
--- a/packages/entry/src/backend/backendClient.ts
+++ b/packages/entry/src/backend/backendClient.ts
@@ -4,7 +4,7 @@
 import type { AttemptOutcome, AttemptReport, DispatchEffect, LoadReport, RegisteredServer } from '@gooseberryspan/core'
 import type { Exchange } from '../caller/exchange.js'
 import type { Dialect } from '../dialect.js'
-import { forwardedHeaders, singleHeader } from '../headers.js'
+import { forwardedHeaders, headerFault, singleHeader } from '../headers.js'
 import { InputTimeout } from '../pendingInput.js'
 import { readAnswer, type Answer } from './answer.js'
 import { BackendAgent } from './backendAgent.js'
@@ -17,6 +17,8 @@
   /** Answers up to this size are buffered, in bytes; larger ones are streamed. */
   holdBytes: number
   now: () => number
+  /** Called when an answer was discarded because its head is not valid HTTP. */
+  onMalformed: (request: string, server: string, reason: string) => void
 }
 
 /** Receives the events of one attempt. */
@@ -37,6 +39,8 @@
 const MAX_DISCARDED_BYTES = 65_536
 const DISCARD_TIMEOUT_MS = 500
 const MISDIRECTED_STATUS = 421
+/** Statuses of final answers. Node's parser also accepts smaller ones that are not interim answers. */
+const MIN_STATUS = 200
 /** Statuses that a caller takes as a guarantee that its request did not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
 
@@ -78,7 +82,11 @@
       answer = message
       load = this._loadOf(message)
       if (isDelimitedByClose(message)) onReset(message.socket, () => end('lost', message.statusCode))
-      this._handleResponse(message, call, exchange, listener, end)
+      const fault = headFault(message)
+      if (fault === undefined) return this._handleResponse(message, call, exchange, listener, end)
+      this._options.onMalformed(exchange.spec.label, effect.server.id, fault)
+      call.destroy()
+      end('lost', message.statusCode)
     })
     call.on('error', () => {
       if (!answer) end(connection.established() ? 'lost' : 'unreachable')
@@ -215,6 +223,11 @@
   return { established: () => made }
 }
 
+/** Returns why the head of an answer is not valid HTTP, or undefined if it is. */
+function headFault ({ statusCode = 0, rawHeaders }: IncomingMessage): string | undefined {
+  return statusCode < MIN_STATUS ? 'status' : headerFault(rawHeaders)
+}
+
 /** Whether the end of an answer is marked only by the end of its connection. */
 function isDelimitedByClose ({ headers }: IncomingMessage): boolean {
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
--- a/packages/entry/src/caller/callerListener.ts
+++ b/packages/entry/src/caller/callerListener.ts
@@ -1,7 +1,7 @@
 /** Request handler of the port for callers. */
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { RequestSpec } from '@gooseberryspan/core'
+import type { FailureOutcome, RequestSpec } from '@gooseberryspan/core'
 import { BadRequest } from '../errors.js'
 import type { EntryNode } from '../runtime/entryNode.js'
 import { readBody } from './body.js'
@@ -67,16 +67,17 @@
   }
 }
 
-/** Rejects an invalid request with outcome `not-run`, since it was not sent to any backend server. */
+/** Rejects a request. An invalid one has not been sent to a backend server; after an internal error, that is unknown. */
 function rejectBadRequest (response: ServerResponse, error: unknown, node: EntryNode): void {
   if (response.headersSent || response.destroyed) return
   const bad = error instanceof BadRequest ? error : new BadRequest(500, 'request', 'internal error')
   if (!(error instanceof BadRequest)) node.log.error({ err: error }, 'request failed with an internal error')
   else if (bad.status !== 503) node.log.info({ decision: 'bad-request', field: bad.field, status: bad.status, reason: bad.message })
   const { outcome, reason, retryAfter } = node.dialect.headers
-  const text = JSON.stringify({ outcome: 'not-run', field: bad.field, error: bad.message })
+  const stated: FailureOutcome = error instanceof BadRequest ? 'not-run' : 'unknown'
+  const text = JSON.stringify({ outcome: stated, field: bad.field, error: bad.message })
   const headers: Record<string, string | number> = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) }
-  if (outcome !== undefined) headers[outcome] = 'not-run'
+  if (outcome !== undefined) headers[outcome] = stated
   if (reason !== undefined) headers[reason] = 'bad-request'
   if (bad.status === 503) headers[retryAfter] = node.closing ? STOPPING_RETRY_AFTER_S : NO_CONFIGURATION_RETRY_AFTER_S
   if (bad.status === 413 || node.closing) headers.connection = 'close'
--- a/packages/entry/src/caller/exchange.ts
+++ b/packages/entry/src/caller/exchange.ts
@@ -82,6 +82,12 @@
     this._endWith(statusFor(effect), headerLines, body)
   }
 
+  /** Closes the caller's connection without an answer. This promises nothing about whether the request has run. */
+  abort (): void {
+    this._answered = true
+    this._options.response.destroy()
+  }
+
   private _endWith (status: number, headerLines: string[], body: string): void {
     const { response, isClosing } = this._options
     if (isClosing()) headerLines.push('connection', 'close')
--- a/packages/entry/src/caller/resolve.ts
+++ b/packages/entry/src/caller/resolve.ts
@@ -3,7 +3,7 @@
 import type { Declarations, RequestSpec, Route, WeightedPicker } from '@gooseberryspan/core'
 import type { Dialect } from '../dialect.js'
 import { BadRequest } from '../errors.js'
-import { headerSectionBytes, singleHeader, parseNonNegativeInteger } from '../headers.js'
+import { headerFault, headerSectionBytes, singleHeader, parseNonNegativeInteger } from '../headers.js'
 
 /** Data needed to resolve a request. */
 export interface ResolveContext {
@@ -16,6 +16,8 @@
 }
 
 const MAX_LABEL_LENGTH = 64
+/** Node's parser accepts other characters in a path, but refuses to send them. */
+const PATH_PATTERN = /^[\x21-\x7e\x80-\xff]+$/
 
 /** Converts an HTTP request to the core's request. Throws a `BadRequest` that names the invalid field. */
 export function resolveRequest (message: IncomingMessage, context: ResolveContext): RequestSpec {
@@ -27,6 +29,9 @@
       431, 'header', `the header is larger than ${limits.headerBytes} bytes`
     )
   }
+  const fault = headerFault(message.rawHeaders)
+  if (fault !== undefined) throw new BadRequest(400, 'header', `a header is not valid HTTP: ${fault}`)
+  if (!PATH_PATTERN.test(message.url ?? '')) throw new BadRequest(400, 'path', 'the path has a character that is not valid HTTP')
   const route = routeOf(message, context)
   const id = context.nextId()
   const label = singleHeader(message.headers, headers.requestId)?.slice(0, MAX_LABEL_LENGTH)
--- a/packages/entry/src/directory/directoryListener.ts
+++ b/packages/entry/src/directory/directoryListener.ts
@@ -29,14 +29,14 @@
   readonly listener: RequestListener = (request, response) => {
     const { node } = this._options
     const { paths } = node.dialect
-    const url = new URL(request.url ?? '/', 'http://entry')
+    const [path, query] = (request.url ?? '/').split('?', 2)
     response.on('error', () => {})
-    switch (url.pathname) {
+    switch (path) {
       case paths.ready: return sendJson(response, node.ready ? 200 : 503, { ready: node.ready })
-      case paths.addresses: return void this._answerAddressQuery(request, response, url.searchParams)
+      case paths.addresses: return void this._answerAddressQuery(request, response, new URLSearchParams(query))
       case STATUS_PATH: return sendJson(response, 200, node.status())
       case HEALTH_PATH: return sendJson(response, 200, { healthy: true })
-      default: return sendJson(response, 404, { error: `no ${url.pathname}` })
+      default: return sendJson(response, 404, { error: `no ${path}` })
     }
   }
 
--- a/packages/entry/src/headers.ts
+++ b/packages/entry/src/headers.ts
@@ -1,5 +1,5 @@
 /** Parses and forwards HTTP headers. */
-import type { IncomingHttpHeaders } from 'node:http'
+import { validateHeaderName, validateHeaderValue, type IncomingHttpHeaders } from 'node:http'
 
 const HOP_BY_HOP = new Set([
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding',
@@ -30,6 +30,22 @@
   return forwarded
 }
 
+/**
+ * Returns why header lines, as received, are not valid HTTP, or undefined if they are. Node's parser accepts some names that Node refuses
+ * to send.
+ */
+export function headerFault (rawHeaders: readonly string[]): string | undefined {
+  try {
+    for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+      validateHeaderName(rawHeaders[index]!)
+      validateHeaderValue(rawHeaders[index]!, rawHeaders[index + 1]!)
+    }
+  } catch (error) {
+    return (error as NodeJS.ErrnoException).code
+  }
+  return undefined
+}
+
 /** Size of a header section as received, in bytes. */
 export function headerSectionBytes (rawHeaders: readonly string[]): number {
   let bytes = 0
--- a/packages/entry/src/runtime/entryNode.ts
+++ b/packages/entry/src/runtime/entryNode.ts
@@ -1,9 +1,9 @@
 /** Passes events with their time to the core and executes the effects that the core returns. */
 import type { Logger } from 'pino'
-import type { DecisionLine, Effect, EntryCore, Event, PeerStateQuery, PeerState } from '@gooseberryspan/core'
+import type { DecisionLine, Effect, EntryCore, Event, PeerStateQuery, PeerState, RegisteredServer } from '@gooseberryspan/core'
 import type { Answer } from '../backend/answer.js'
 import type { BackendClient } from '../backend/backendClient.js'
-import type { ProbeClient } from '../backend/probeClient.js'
+import type { ProbeClient, ProbeResult } from '../backend/probeClient.js'
 import type { Exchange } from '../caller/exchange.js'
 import type { ResolveContext } from '../caller/resolve.js'
 import type { Dialect } from '../dialect.js'
@@ -158,7 +158,43 @@
     for (const effect of this.core.handle(event, now)) this._perform(effect)
   }
 
+  /** Executes an effect. If that fails, only the request or probe that the effect belongs to ends. */
   private _perform (effect: Effect): void {
+    try {
+      this._execute(effect)
+    } catch (error) {
+      this._reportFailure(effect, error as NodeJS.ErrnoException)
+      this._endFailed(effect)
+    }
+  }
+
+  private _reportFailure (effect: Effect, error: NodeJS.ErrnoException): void {
+    const exchange = 'request' in effect ? this._exchanges.get(effect.request) : undefined
+    const reason = `${effect.kind}: ${error.code ?? error.name}`
+    const line: DecisionLine = { decision: 'effect-failed', request: exchange?.spec.label, reason }
+    this._options.decisionObserver.onDecision(line)
+    this.log.error({ ...line, err: error })
+  }
+
+  private _endFailed (effect: Effect): void {
+    switch (effect.kind) {
+      // The server may have received the request before the error occurred.
+      case 'dispatch':
+        this._handlers.backends.cancel(effect.attempt)
+        return this.handle({ kind: 'attempt-ended', attempt: effect.attempt, report: { outcome: 'lost', tookMs: 0 } })
+      case 'answer':
+      case 'refuse':
+        this._exchanges.get(effect.request)?.abort()
+        return this._discardRequest(effect.request)
+      case 'probe': return this._probed(effect.server, {})
+    }
+  }
+
+  private _probed ({ id: server, service }: RegisteredServer, result: ProbeResult): void {
+    this.handle({ kind: 'probed', server, service, ...result })
+  }
+
+  private _execute (effect: Effect): void {
     switch (effect.kind) {
       case 'log': return this._reportDecision(effect.line)
       case 'dispatch': return this._dispatch(effect)
@@ -169,10 +205,7 @@
         return this._handlers.backends.cancel(effect.attempt)
       case 'send': return this._handlers.datagrams.send(effect.to, effect.message)
       case 'greet': return this._handlers.datagrams.sendTo(effect, effect.message)
-      case 'probe': {
-        const { id: server, service } = effect.server
-        return this._handlers.probes.probe(effect.server, (end) => this.handle({ kind: 'probed', server, service, ...end }))
-      }
+      case 'probe': return this._handlers.probes.probe(effect.server, (result) => this._probed(effect.server, result))
       case 'disconnect': return this._handlers.backends.disconnect(effect.server)
       case 'read-table': return this._handlers.store.read(effect)
       case 'find-entries': return this._handlers.store.findEntries()
--- a/packages/entry/src/runtime/httpListener.ts
+++ b/packages/entry/src/runtime/httpListener.ts
@@ -19,6 +19,8 @@
   onRejected?: (code: string, caller: string) => void
   /** Called when a request is dropped because it was read after its connection had been rejected. */
   onDropped?: (caller: string) => void
+  /** Called when the request handler threw; the request's connection is closed. */
+  onError?: (error: unknown) => void
 }
 
 /** What is known about one connection. */
@@ -61,7 +63,12 @@
       response.once('finish', () => {
         connection.unanswered -= 1
       })
-      listener(request, response)
+      try {
+        listener(request, response)
+      } catch (error) {
+        this._options.onError?.(error)
+        response.destroy()
+      }
     })
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => this._handleError(error, socket as Socket))
     this._server.on('timeout', (socket) => this._closeIdle(socket))
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -84,12 +84,13 @@
 
   const callerAddress = parseHostPort(settings.callers.address)
   const onRejected = (reason: string, caller: string): void => log.info({ decision: 'malformed-request', reason, caller })
+  const onError = (error: unknown): void => log.error({ err: error }, 'request failed with an internal error')
   const onDropped = (caller: string): void => log.info({ decision: 'request-dropped', reason: 'connection-rejected', caller })
   const callerServer = new HttpListener((request, response) => {
     const isDirectoryRequest = settings.directory.address === undefined && components.directory!.serves(request.url ?? '/')
     const { listener } = isDirectoryRequest ? components.directory! : components.callers!
     listener(request, response)
-  }, { ...callerAddress, ...DEFAULT_TIMEOUTS, onRejected, onDropped })
+  }, { ...callerAddress, ...DEFAULT_TIMEOUTS, onRejected, onDropped, onError })
   const peerAddress = parseHostPort(settings.peers.address)
   const { token } = settings.peers
   const peerServer = new HttpListener(peerListener({ token, source: { stateFor: (query) => components.node!.stateFor(query) } }), {
@@ -115,9 +116,13 @@
     host: peerAddress.host, port: peers, token, self: () => built.core.roster.self, received: (envelope) => node.received(envelope)
   })
   await datagrams.listen()
-  const backends = new BackendClient(
-    { dialect: formats.dialect, connectMs: settings.backends.connectMs, holdBytes: MAX_BUFFERED_ANSWER_BYTES, now }
-  )
+  const backends = new BackendClient({
+    dialect: formats.dialect,
+    connectMs: settings.backends.connectMs,
+    holdBytes: MAX_BUFFERED_ANSWER_BYTES,
+    now,
+    onMalformed: (request, server, reason) => log.info({ decision: 'answer-malformed', request, server, reason })
+  })
   const probes = new ProbeClient({
     dialect: formats.dialect,
     timeoutMs: settings.backends.probeMs,
@@ -165,7 +170,7 @@
   ] as const) {
     if (address === undefined) continue
     const port = new HttpListener(
-      (request, response) => components.directory!.listener(request, response), { ...parseHostPort(address), ...DEFAULT_TIMEOUTS }
+      (request, response) => components.directory!.listener(request, response), { ...parseHostPort(address), ...DEFAULT_TIMEOUTS, onError }
     )
     await port.listen()
     portProcesses.push(listenerProcess(name, port))
--- a/packages/standins/src/backend/standInBackend.ts
+++ b/packages/standins/src/backend/standInBackend.ts
@@ -45,6 +45,9 @@
   | 'unframed-reset-at-once'
   /** The server sends text that is not HTTP. */
   | 'garbage'
+  /** A header's name has a space in it, or the status is below 100. */
+  | 'malformed-header'
+  | 'malformed-status'
   /** The server resets the connection after the request has run. */
   | 'reset'
   /** The server sends no answer. */
@@ -259,6 +262,8 @@
       case 'endless-body': return this._sendForever(socket, chunkedHead(response, '200 OK'), CHUNK)
       case 'hang': return
       case 'reset': return void socket.resetAndDestroy()
+      case 'malformed-header': return void socket.write(rawAnswer(response, '200 OK', text, 'content type: text/plain'))
+      case 'malformed-status': return void socket.write(rawAnswer(response, '099 Unknown', text))
       case 'garbage': return void socket.end('this is no answer\r\n\r\n')
       case 'unframed':
       case 'unframed-reset':
@@ -310,6 +315,13 @@
   }
 }
 
+/** Formats a complete answer, with a header line of any form. */
+function rawAnswer (response: ServerResponse, status: string, text: string, extraLine?: string): string {
+  const lines = Object.entries(response.getHeaders()).map(([name, value]) => `${name}: ${String(value)}`)
+  if (extraLine !== undefined) lines.push(extraLine)
+  return [`HTTP/1.1 ${status}`, ...lines, `content-length: ${Buffer.byteLength(text)}`, '', text].join('\r\n')
+}
+
 /** Formats the status line and the headers of an answer with chunked transfer encoding. */
 function chunkedHead (response: ServerResponse, status: string): string {
   const lines = Object.entries(response.getHeaders()).map(([name, value]) => `${name}: ${String(value)}`)
--- a/tests/entry.spec.ts
+++ b/tests/entry.spec.ts
@@ -1,7 +1,11 @@
 /** Entry processes end to end over loopback. */
 import { expect } from 'chai'
+import { once } from 'node:events'
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { DirectoryListener } from '@gooseberryspan/entry'
 import type { AnswerFault } from '@gooseberryspan/standins'
-import { Deployment, openRaw, REQUEST_ID, send, smallDocument, waitUntil } from './fixtures/deployment.js'
+import { Deployment, HOST, openRaw, REQUEST_ID, send, smallDocument, waitUntil } from './fixtures/deployment.js'
 
 describe('entry', () => {
   let deployment: Deployment
@@ -58,6 +62,38 @@
     })
   }
 
+  // Guards against a caller's head that ends the entry process, and with it the requests of other callers.
+  for (const [title, head, status] of [
+    ['a space in a header\'s name', 'GET /orders HTTP/1.1\r\nhost: x\r\na b: c', 400],
+    ['a tab in its path', 'GET /orders/\t HTTP/1.1\r\nhost: x', 400],
+    ['a form feed in its path', 'GET /orders/\f HTTP/1.1\r\nhost: x', 400],
+    ['no path but two slashes', 'GET // HTTP/1.1\r\nhost: x', 404]
+  ] as const) {
+    it(`should refuse a request that has ${title}, and go on`, async () => {
+      await deployment.start(smallDocument(), [{}], ['a'])
+      const { socket, received } = openRaw(deployment.portOf(0), `${head}\r\n\r\n`)
+      await waitUntil(() => received() !== '' || socket.destroyed)
+      expect(received()).to.match(new RegExp(`^HTTP/1\\.1 ${status}`))
+      socket.destroy()
+      expect((await send(deployment.portOf(0), 'GET', '/orders')).status).to.equal(200)
+    })
+  }
+
+  // Guards against a path that ends the entry process.
+  it('should answer any path at the directory\'s own address', async () => {
+    await deployment.start(smallDocument(), [{}], ['a'])
+    const node = deployment.entries[0]!.node
+    const { listener } = new DirectoryListener({ node, keepSeconds: 1 })
+    const server = createServer(listener).listen(0, HOST)
+    await once(server, 'listening')
+    const { port } = server.address() as AddressInfo
+    const { received, socket } = openRaw(port, 'GET // HTTP/1.1\r\nhost: x\r\n\r\n')
+    await waitUntil(() => received() !== '')
+    expect(received()).to.match(/^HTTP\/1\.1 404/)
+    socket.destroy()
+    server.close()
+  })
+
   it('should end a connection whose headers come too slowly', async () => {
     await deployment.start(smallDocument(), [{}], ['a'])
     const { ended } = openRaw(deployment.portOf(0), 'GET /orders HTTP/1.1\r\nhost: x\r\n')
@@ -90,7 +126,10 @@
     expect(await ended).to.include('"bytes":11')
   })
 
-  for (const spoil of ['truncate', 'foreign', 'garbage', 'reset', 'unframed-reset', 'unframed-reset-at-once'] as AnswerFault[]) {
+  // The malformed ones guard against an answer's head that ends the entry process, and with it the requests of other callers.
+  for (const spoil of [
+    'truncate', 'foreign', 'garbage', 'reset', 'unframed-reset', 'unframed-reset-at-once', 'malformed-header', 'malformed-status'
+  ] as AnswerFault[]) {
     it(`should say "unknown" of an order whose answer is spoiled (${spoil}), and run it once`, async () => {
       await deployment.start(smallDocument(), [{}, {}], ['a'])
       for (const backend of deployment.backends) backend.faults.answerFault = spoil
