Accept a backend server only with an address and numbers in range, from rows and from grants

Cause: the adapter checked an address against digits only, and Node throws for a port above 65535 when the server is probed or used. A server in another entry's grant, an entry's address in a membership update and in the store's row of entries had no check of the port either.

Evidence: server-listed for the row, then exit code 1 with ERR_SOCKET_BAD_PORT at the first probe; entries that had not used it went on.

Change: parseRegisteredServer checks types and ranges of whatever names a server; ports of entries are checked where they are read. A value out of range is logged as row-unreadable, and the other rows hold.

--- a/packages/core/src/discovery/registeredServer.ts
+++ b/packages/core/src/discovery/registeredServer.ts
@@ -1,4 +1,6 @@
 /** A backend server as it was registered. */
+import * as z from 'zod'
+import { portSchema } from './port.js'
 
 /** Address of a backend server and the properties that it registered. */
 export interface RegisteredServer {
@@ -18,3 +20,29 @@
   /** Version of the store row that the registration was read from. */
   version: number
 }
+
+/** Ids are sent in a header, and hosts are resolved. */
+const VISIBLE_ASCII = /^[\x21-\x7e]+$/
+/** Longest DNS name. */
+const MAX_HOST_LENGTH = 253
+/** Far above what one process runs concurrently; a larger number would make a service appear to have unlimited capacity. */
+const MAX_SLOTS = 65_536
+const MAX_COLD_MS = 86_400_000
+
+const schema: z.ZodType<RegisteredServer> = z.object({
+  id: z.string().regex(VISIBLE_ASCII),
+  incarnation: z.string(),
+  service: z.string().min(1),
+  host: z.string().max(MAX_HOST_LENGTH).regex(VISIBLE_ASCII),
+  port: portSchema,
+  zone: z.string().min(1),
+  slots: z.int().min(1).max(MAX_SLOTS),
+  state: z.enum(['ready', 'draining']),
+  coldMs: z.number().min(0).max(MAX_COLD_MS),
+  version: z.int().min(0)
+})
+
+/** Returns a backend server whose fields have their types and are in range, or undefined if a value does not describe one. */
+export function parseRegisteredServer (value: unknown): RegisteredServer | undefined {
+  return schema.safeParse(value).data
+}
--- a/packages/entry/src/peers/datagramCodec.ts
+++ b/packages/entry/src/peers/datagramCodec.ts
@@ -1,5 +1,7 @@
 /** Encodes messages between entries as MessagePack datagrams. Fields are positional and are validated on receipt. */
-import type { Member, MemberUpdate, PeerMessage, Phase, RegisteredServer, Standing } from '@gooseberryspan/core'
+import {
+  isPort, parseRegisteredServer, type Member, type MemberUpdate, type PeerMessage, type Phase, type RegisteredServer, type Standing
+} from '@gooseberryspan/core'
 import { packr } from './packr.js'
 
 /** The messages of one datagram with their sender. */
@@ -154,7 +156,8 @@
     item as unknown[]
   const phase = PHASES[phaseIndex as number]
   const standing = STANDINGS[standingIndex as number]
-  if (!areStrings([instance, zone, host]) || !areNumbers([incarnation, port, peerPort, cores, sequence])) return undefined
+  if (!areStrings([instance, zone, host]) || !areNumbers([incarnation, cores, sequence])) return undefined
+  if (!isPort(port) || !isPort(peerPort)) return undefined
   if (phase === undefined || standing === undefined || typeof reachesStore !== 'boolean' || typeof isWarm !== 'boolean') return undefined
   const member = { instance, incarnation, zone, host, port, peerPort, cores, phase, reachesStore, isWarm, sequence } as Member
   return { member, standing }
@@ -167,7 +170,5 @@
 function decodeServer (item: unknown): RegisteredServer | undefined {
   if (!Array.isArray(item)) return undefined
   const [id, incarnation, service, host, port, zone, slots, state, coldMs, version] = item as unknown[]
-  if (!areStrings([id, incarnation, service, host, zone, state])) return undefined
-  if (!areNumbers([port, slots, coldMs, version])) return undefined
-  return { id, incarnation, service, host, port, zone, slots, state, coldMs, version } as RegisteredServer
+  return parseRegisteredServer({ id, incarnation, service, host, port, zone, slots, state, coldMs, version })
 }
--- a/packages/entry/src/runtime/processes.ts
+++ b/packages/entry/src/runtime/processes.ts
@@ -33,8 +33,11 @@
       const { now, core } = this._node
       if (now >= this._dueAt) {
         this._ticking = true
-        this._node.handle({ kind: 'tick' })
-        this._ticking = false
+        try {
+          this._node.handle({ kind: 'tick' })
+        } finally {
+          this._ticking = false
+        }
         this._dueAt = now + core.pauseMs(now)
       }
       yield * takeWithTimeout(this._wake, Math.max(0, this._dueAt - this._node.now), scope.stopping)
--- a/packages/entry/src/store/addressBookRow.ts
+++ b/packages/entry/src/store/addressBookRow.ts
@@ -1,11 +1,11 @@
 /** The row of the store in which the change-feed leader registers the entries. */
-import type { AddressBook } from '@gooseberryspan/core'
+import { portSchema, type AddressBook } from '@gooseberryspan/core'
 import * as z from 'zod'
 
 /** Where the registered entries are kept, for entries that start while no seed is reachable. */
 export const ADDRESS_BOOK_ROW = { table: 'watchers', key: 'current' } as const
 
-const addressSchema = z.object({ host: z.string(), port: z.int() })
+const addressSchema = z.object({ host: z.string(), port: portSchema })
 /** The address of the change-feed leader and, unless an entry of an earlier version has written the row, those of other entries. */
 const rowSchema = addressSchema.extend({ entries: z.array(addressSchema).default([]), count: z.int().min(1).default(1) })
 
--- a/packages/store/src/defaultRowReader.ts
+++ b/packages/store/src/defaultRowReader.ts
@@ -1,17 +1,19 @@
 /** Rows of the default store protocol: configuration documents and server registrations as JSON. */
-import { gatewayConfigurationOf, type Declaration, type RowReader, type RegisteredServer, type StoredRow } from '@gooseberryspan/core'
+import {
+  gatewayConfigurationOf, parseRegisteredServer, type Declaration, type RegisteredServer, type RowReader, type StoredRow
+} from '@gooseberryspan/core'
 import * as z from 'zod'
 import { parseAcceptedDocument, GATEWAY_ROW } from './configurationStore.js'
 
 const registrationSchema = z.object({
   incarnation: z.string(),
-  service: z.string().min(1),
-  host: z.string().min(1),
-  port: z.int().min(1).max(65535),
-  zone: z.string().min(1),
-  slots: z.int().min(1),
+  service: z.string(),
+  host: z.string(),
+  port: z.number(),
+  zone: z.string(),
+  slots: z.number(),
   state: z.enum(['ready', 'draining']),
-  coldMs: z.number().min(0).default(0)
+  coldMs: z.number().default(0)
 })
 
 /** The registration that a backend server writes to the store. */
@@ -32,7 +34,7 @@
   server (row: StoredRow): RegisteredServer | undefined {
     try {
       const found = registrationSchema.safeParse(JSON.parse(row.value ?? ''))
-      return found.success ? { ...found.data, id: row.key, version: row.version } : undefined
+      return found.success ? parseRegisteredServer({ ...found.data, id: row.key, version: row.version }) : undefined
     } catch {
       return undefined
     }
--- a/tests/platform.spec.ts
+++ b/tests/platform.spec.ts
@@ -101,6 +101,13 @@
     ['with a number for a service', { ...SERVER, service: 7 }],
     ['in an unknown state', { ...SERVER, state: 'resting' }],
     ['with a broken address', { ...SERVER, address: 'nowhere' }],
+    // These guard against a row of another writer that ends each entry that reads it.
+    ['with a port above 65535', { ...SERVER, address: '10.128.0.9:78410' }],
+    ['with port 0', { ...SERVER, address: '10.128.0.9:0' }],
+    ['with an octet above 255', { ...SERVER, address: '10.128.0.900:8080' }],
+    ['with more slots than a process can have', { ...SERVER, slots: Number.MAX_SAFE_INTEGER }],
+    ['with an endless warm-up', { ...SERVER, warmup_left_ms: 1e300 }],
+    ['with a number of slots beyond a double', JSON.parse(JSON.stringify(SERVER).replace('"slots":2', '"slots":1e400'))],
     ['without slots', { ...SERVER, slots: 0 }],
     ['with a text for its start', { ...SERVER, born: 'yesterday' }],
     ['that is a list', []]
@@ -110,6 +117,11 @@
     })
   }
 
+  // Guards against an id that cannot be sent in a header.
+  it('should name no server whose id has other characters than visible ASCII', () => {
+    for (const id of ['a\nb', 'i-\u00fc', 'i 7', '']) expect(reader.server(row(id, SERVER))).to.equal(undefined)
+  })
+
   it('should name no server for bytes that cannot be read', () => {
     expect(reader.server({ key: 'k', version: 1, value: '\u0000{' })).to.equal(undefined)
   })
--- a/tests/store.spec.ts
+++ b/tests/store.spec.ts
@@ -131,7 +131,8 @@
 
   it('should name no server for a row that is not one', () => {
     for (const value of [
-      '', '{', '[]', '{"service":"s"}', '{"service":1,"host":"h","port":1,"zone":"a","slots":1,"state":"ready","incarnation":"1"}'
+      '', '{', '[]', '{"service":"s"}', '{"service":1,"host":"h","port":1,"zone":"a","slots":1,"state":"ready","incarnation":"1"}',
+      '{"service":"s","host":"h","port":65536,"zone":"a","slots":1,"state":"ready","incarnation":"1"}'
     ]) {
       expect(reader.server(row('k', 1, value))).to.equal(undefined)
     }
@@ -155,6 +156,14 @@
     expect(decodeAddressBook(JSON.stringify(first))).to.deep.equal({ addresses: [first], entryCount: 1 })
   })
 
+  // Guards against a row of another writer that ends each entry that reads it.
+  it('should name nobody in a row with a port that is none', () => {
+    for (const port of [0, -1, 65_536, 1e300]) {
+      expect(decodeAddressBook(JSON.stringify({ host: '10.0.1.10', port }))).to.equal(undefined)
+      expect(decodeAddressBook(JSON.stringify({ ...first, entries: [{ host: 'h', port }] }))).to.equal(undefined)
+    }
+  })
+
   it('should name nobody in a row that is not one', () => {
     for (const value of [
       '', '{', '[]', '{"host":1,"port":1}', '{"host":"h","port":1,"entries":["h:1"]}', '{"host":"h","port":1,"count":0}'
