Compare the id of an answer before its statement that nothing ran

Cause: the client accepted the statement "not run" before it compared the id in the answer with the id of the request.

Change: the id is compared first. A refusal that names another request counts as lost and closes the connection; one without an id counts only as the first answer on its connection. Simulated servers repeat the id in refusals and can repeat a refusal.

--- a/packages/entry/src/backend/backendClient.ts
+++ b/packages/entry/src/backend/backendClient.ts
@@ -120,11 +120,11 @@
   ): void {
     const status = message.statusCode ?? 0
     const refusal = this._refusalOf(message, status)
-    if (refusal) return discardAnswer(message, call, () => end(refusal, status))
-    if (!this._answersRequest(message, exchange, status)) {
+    if (!this._namesRequest(message, call, exchange, refusal !== undefined) || (!refusal && !this._isServersOwn(message, status))) {
       call.destroy()
       return end('lost', status)
     }
+    if (refusal) return discardAnswer(message, call, () => end(refusal, status))
     const outcome = this._outcomeOf(message, exchange, status)
     if (outcome === 'lost') return discardAnswer(message, call, () => end('lost', status))
     readAnswer(message, this._options.holdBytes, {
@@ -144,14 +144,22 @@
   }
 
   /**
-   * Whether an answer belongs to this request. A late answer to an earlier request carries the id of that request. If the
-   * dialect requires signatures, an answer without the request's id, a success without the server's signature and an answer with a content
-   * encoding that was not requested do not come from the server.
+   * Whether an answer belongs to this request. A late or repeated answer to an earlier request carries the id of that request. A refusal
+   * without an id counts only as the first answer on its connection: on a reused one, it may be a repetition of an earlier refusal.
    */
-  private _answersRequest (message: IncomingMessage, exchange: Exchange, status: number): boolean {
+  private _namesRequest (message: IncomingMessage, call: ClientRequest, { spec }: Exchange, isRefusal: boolean): boolean {
     const { headers, requiresSignature } = this._options.dialect
     const named = singleHeader(message.headers, headers.requestId)
-    if (named === undefined ? requiresSignature : named !== exchange.spec.label) return false
+    if (named !== undefined) return named === spec.label
+    return isRefusal ? !call.reusedSocket : !requiresSignature
+  }
+
+  /**
+   * Whether an answer comes from the server. If the dialect requires signatures, a success without the server's signature and an answer
+   * with a content encoding that was not requested do not.
+   */
+  private _isServersOwn (message: IncomingMessage, status: number): boolean {
+    const { headers, requiresSignature } = this._options.dialect
     const encoding = singleHeader(message.headers, 'content-encoding')
     if (requiresSignature && encoding !== undefined && encoding !== 'identity') return false
     return !requiresSignature || status >= 300 || singleHeader(message.headers, headers.signature) !== undefined
--- a/packages/standins/src/backend/standInBackend.ts
+++ b/packages/standins/src/backend/standInBackend.ts
@@ -36,6 +36,8 @@
   | 'extra'
   /** The server sends a second answer a little later, where the answer to the next request is expected. */
   | 'extra-late'
+  /** Before it runs a request, the server repeats the last refusal that it sent on the connection. */
+  | 'repeated-refusal'
   /** The answer carries the id of another request. */
   | 'foreign'
   /** The answer states no length; the end of the connection marks its end. */
@@ -61,6 +63,8 @@
   fail: boolean
   /** The server refuses requests without running them. */
   shed: boolean
+  /** Refusals do not repeat the id of the request. */
+  anonymousRefusals: boolean
   /** Number of filler bytes that are added to each answer. */
   fillerBytes: number
   answerFault?: AnswerFault
@@ -79,6 +83,7 @@
 }
 
 const HEADER_PREFIX = 'gooseberryspan'
+const REQUEST_ID = `${HEADER_PREFIX}-request-id`
 const COLD_DURATION_FACTOR = 2
 /** Delay of a connection reset; long enough for the first half of the answer to arrive. */
 const RESET_DELAY_MS = 20
@@ -93,10 +98,13 @@
   /** Number of connections with an endless answer: those open now, and all since the start. */
   endlessNow = 0
   endlessTotal = 0
-  readonly faults: BackendFaults = { pace: 1, fail: false, shed: false, fillerBytes: 0, unresponsive: false, resetWhenFull: false }
+  readonly faults: BackendFaults = {
+    pace: 1, fail: false, shed: false, anonymousRefusals: false, fillerBytes: 0, unresponsive: false, resetWhenFull: false
+  }
   private readonly _options: BackendOptions
   private readonly _server: Server
   private readonly _queue: QueuedWork[] = []
+  private readonly _lastRefusal = new WeakMap<Socket, string>()
   private _running = 0
   private _coldUntil = -Infinity
   private _coldArrivals: number[] = []
@@ -191,10 +199,10 @@
       response.setHeader(`${HEADER_PREFIX}-not-run`, '1')
       return this._sendForever(request.socket, chunkedHead(response, '503 Service Unavailable'), CHUNK)
     }
-    if (this.faults.shed) return this._refuse(response)
+    if (this.faults.shed) return this._refuse(request, response)
     if (this._running + this._queue.length >= slots + queue) {
       truth.full += 1
-      return this.faults.resetWhenFull ? void request.socket.resetAndDestroy() : this._refuse(response)
+      return this.faults.resetWhenFull ? void request.socket.resetAndDestroy() : this._refuse(request, response)
     }
     const work: QueuedWork = { response, begin: () => this._run(request, response, body, work), finished: false }
     response.on('close', () => this._finish(work))
@@ -202,11 +210,15 @@
     this._startWaiting()
   }
 
-  private _refuse (response: ServerResponse): void {
+  private _refuse ({ headers, socket }: IncomingMessage, response: ServerResponse): void {
+    const text = 'not run'
+    if (!this.faults.anonymousRefusals) response.setHeader(REQUEST_ID, headers[REQUEST_ID] ?? '')
     response.setHeader(`${HEADER_PREFIX}-not-run`, '1')
     response.setHeader(`${HEADER_PREFIX}-load`, this._formatLoad())
+    this._lastRefusal.set(socket, rawAnswer(response, '503 Service Unavailable', text))
+    response.setHeader('content-length', text.length)
     response.writeHead(503)
-    response.end('not run')
+    response.end(text)
   }
 
   private _countColdArrival (): void {
@@ -237,8 +249,10 @@
   }
 
   private _run (request: IncomingMessage, response: ServerResponse, body: Buffer, work: QueuedWork): void {
-    const name = String(request.headers[`${HEADER_PREFIX}-request-id`] ?? '')
+    const name = String(request.headers[REQUEST_ID] ?? '')
     this._options.truth.run(name, request.method === 'POST')
+    const { socket } = request
+    if (this.faults.answerFault === 'repeated-refusal') socket.write(this._lastRefusal.get(socket) ?? '')
     const timer = setTimeout(() => {
       if (work.finished) return
       this._answer(request, response, name, body)
@@ -252,7 +266,7 @@
     const { answerFault } = this.faults
     const filling = 'x'.repeat(this.faults.fillerBytes)
     const text = JSON.stringify({ request: name, server: this._options.id, bytes: body.length, filling })
-    response.setHeader(`${HEADER_PREFIX}-request-id`, answerFault === 'foreign' ? `not-${name}` : name)
+    response.setHeader(REQUEST_ID, answerFault === 'foreign' ? `not-${name}` : name)
     response.setHeader(`${HEADER_PREFIX}-load`, this._formatLoad(1))
     response.setHeader('content-type', 'application/json')
     response.statusCode = this.faults.fail ? 500 : 200
@@ -284,7 +298,7 @@
     }
     response.setHeader('content-length', Buffer.byteLength(text))
     response.end(text, () => {
-      const extraAnswer = `HTTP/1.1 200 OK\r\n${HEADER_PREFIX}-request-id: surplus\r\ncontent-length: 7\r\n\r\nsurplus`
+      const extraAnswer = `HTTP/1.1 200 OK\r\n${REQUEST_ID}: surplus\r\ncontent-length: 7\r\n\r\nsurplus`
       if (answerFault === 'extra') socket.write(extraAnswer)
       if (answerFault === 'extra-late') setTimeout(() => socket.writable && socket.write(extraAnswer), 5)
     })
--- a/tests/entry.spec.ts
+++ b/tests/entry.spec.ts
@@ -171,6 +171,26 @@
     expect(deployment.truth.runCount('m')).to.equal(0)
   })
 
+  for (const [title, anonymousRefusals] of [['with the id of its request', false], ['without an id', true]] as const) {
+    // Guards against reporting a request as not run because its server repeated a refusal of an earlier one.
+    it(`should not take a repeated refusal ${title} for an answer to the next request on the connection`, async () => {
+      await deployment.start(smallDocument(), [{}], ['a'])
+      const { faults } = deployment.backends[0]!
+      faults.anonymousRefusals = anonymousRefusals
+      for (const method of ['GET', 'POST']) {
+        faults.shed = true
+        const refused = await send(deployment.portOf(0), method, '/orders', { [REQUEST_ID]: `${method}-1` })
+        expect(JSON.parse(refused.text)).to.include({ outcome: 'not-run' })
+        faults.shed = false
+        faults.answerFault = 'repeated-refusal'
+        const answer = await send(deployment.portOf(0), method, '/orders', { [REQUEST_ID]: `${method}-2` })
+        expect(deployment.truth.runCount(`${method}-2`)).to.equal(1)
+        expect(JSON.parse(answer.text)).not.to.include({ outcome: 'not-run' })
+        expect(answer.status).to.be.oneOf([200, 502])
+      }
+    })
+  }
+
   it('should send an order on when the server that it went to refused it', async () => {
     await deployment.start(smallDocument(), [{}, {}], ['a'])
     deployment.backends[0]!.faults.shed = true
