Cut simulated answers at every byte, and check that none reaches a caller as a success

Another operator reported a 200 with an empty or short body, framed as whole, after a backend server had stopped in the middle of an answer's head. It can't happen here: Node's client reports an end within a head or a framed body as an error, and the attempt counts as lost.

--- a/packages/standins/src/backend/standInBackend.ts
+++ b/packages/standins/src/backend/standInBackend.ts
@@ -27,6 +27,10 @@
 export type AnswerFault =
   /** The answer ends after half of its body. */
   | 'truncate'
+  /** The server sends `cutAtByte` bytes of the answer and then ends or resets the connection. */
+  | 'cut'
+  | 'cut-chunked'
+  | 'cut-reset'
   /** The server sends bytes until the other side closes the connection: headers, interim answers, a body, or the body of a refusal. */
   | 'endless-head'
   | 'endless-interim'
@@ -68,6 +72,8 @@
   /** Number of filler bytes that are added to each answer. */
   fillerBytes: number
   answerFault?: AnswerFault
+  /** Number of bytes of a cut answer, including its head; all of it if absent. */
+  cutAtByte?: number
   /** The health check reports the opposite of the server's health. */
   invertHealth?: boolean
   /** The server answers no request at all. */
@@ -101,6 +107,7 @@
   readonly faults: BackendFaults = {
     pace: 1, fail: false, shed: false, anonymousRefusals: false, fillerBytes: 0, unresponsive: false, resetWhenFull: false
   }
+
   private readonly _options: BackendOptions
   private readonly _server: Server
   private readonly _queue: QueuedWork[] = []
@@ -276,6 +283,13 @@
       case 'endless-body': return this._sendForever(socket, chunkedHead(response, '200 OK'), CHUNK)
       case 'hang': return
       case 'reset': return void socket.resetAndDestroy()
+      case 'cut': return void socket.end(rawAnswer(response, '200 OK', text).slice(0, this.faults.cutAtByte))
+      case 'cut-chunked': {
+        const chunks = `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n0\r\n\r\n`
+        return void socket.end(`${chunkedHead(response, '200 OK')}${chunks}`.slice(0, this.faults.cutAtByte))
+      }
+      case 'cut-reset':
+        return void socket.write(rawAnswer(response, '200 OK', text).slice(0, this.faults.cutAtByte), () => socket.resetAndDestroy())
       case 'malformed-header': return void socket.write(rawAnswer(response, '200 OK', text, 'content type: text/plain'))
       case 'malformed-status': return void socket.write(rawAnswer(response, '099 Unknown', text))
       case 'garbage': return void socket.end('this is no answer\r\n\r\n')
