--- a/packages/core/src/discovery/catalog.ts
+++ b/packages/core/src/discovery/catalog.ts
@@ -10,9 +10,11 @@
   unreadable?: boolean
 }
 
-/** Time within which registrations that disappeared during a store outage may be renewed. */
 export interface CatalogOptions {
+  /** Time within which registrations that disappeared during a store outage may be renewed, in milliseconds. */
   lapseMs: number
+  /** Whether the configuration in force has a service. A registration for any other service names no server to use. */
+  isDeclared: (service: string) => boolean
 }
 
 interface ListedServer {
@@ -21,10 +23,10 @@
   lapsesAt: number
 }
 
-/** Registered servers by id, and the owner of each address. */
+/** Registered servers by id, and the registrations of each address. */
 export class Catalog {
   private readonly _listed = new Map<string, ListedServer>()
-  private readonly _idByAddress = new Map<string, string>()
+  private readonly _idsByAddress = new Map<string, Set<string>>()
   private readonly _options: CatalogOptions
   private _storeRecoveredAt = -Infinity
 
@@ -45,10 +47,11 @@
   apply (changes: readonly RegistrationChange[], now: number): Set<string> {
     const affected = new Set<string>()
     for (const change of changes) {
-      const service = this._listed.get(change.id)?.entry.service
-      if (service !== undefined) affected.add(service)
-      if (change.entry) this._register(change.entry, affected)
+      const previous = this._listed.get(change.id)?.entry
+      if (previous) this._addServicesAt(previous, affected)
+      if (change.entry) this._register(change.entry)
       else this._unregister(change, now)
+      if (change.entry) this._addServicesAt(change.entry, affected)
     }
     return affected
   }
@@ -58,8 +61,8 @@
     const affected = new Set<string>()
     for (const [id, { entry, lapsesAt }] of this._listed) {
       if (now < lapsesAt) continue
+      this._addServicesAt(entry, affected)
       this._remove(id)
-      affected.add(entry.service)
     }
     return affected
   }
@@ -82,17 +85,14 @@
     return [...this._listed.values()].map(({ entry }) => entry)
   }
 
-  private _register (entry: RegisteredServer, affected: Set<string>): void {
+  private _register (entry: RegisteredServer): void {
+    const previous = this._listed.get(entry.id)?.entry
+    if (previous) this._removeAddress(previous)
     this._listed.set(entry.id, { entry, lapsesAt: Infinity })
-    affected.add(entry.service)
     const address = addressOf(entry)
-    const owner = this._idByAddress.get(address)
-    const former = owner === undefined ? undefined : this._listed.get(owner)?.entry
-    if (former && former.id !== entry.id && addressOf(former) === address) {
-      if (former.version > entry.version) return
-      affected.add(former.service)
-    }
-    this._idByAddress.set(address, entry.id)
+    const ids = this._idsByAddress.get(address)
+    if (ids) ids.add(entry.id)
+    else this._idsByAddress.set(address, new Set([entry.id]))
   }
 
   private _unregister (change: RegistrationChange, now: number): void {
@@ -107,14 +107,31 @@
     const listed = this._listed.get(id)
     if (!listed) return
     this._listed.delete(id)
-    const address = addressOf(listed.entry)
-    if (this._idByAddress.get(address) === id) this._idByAddress.delete(address)
+    this._removeAddress(listed.entry)
   }
 
-  /** Whether a server owns its address: the newest registration of an address does. */
+  private _removeAddress (entry: RegisteredServer): void {
+    const address = addressOf(entry)
+    const ids = this._idsByAddress.get(address)
+    ids?.delete(entry.id)
+    if (ids?.size === 0) this._idsByAddress.delete(address)
+  }
+
+  /** Whether a server owns its address: the newest registration of an address for a declared service does. */
   private _ownsAddress (entry: RegisteredServer): boolean {
-    const owner = this._idByAddress.get(addressOf(entry))
-    return owner === undefined || owner === entry.id
+    for (const other of this._at(entry)) {
+      if (other.version > entry.version && this._options.isDeclared(other.service)) return false
+    }
+    return true
+  }
+
+  /** Adds the services of all registrations for the address of a server: a change of one may change which of them owns it. */
+  private _addServicesAt (entry: RegisteredServer, services: Set<string>): void {
+    for (const { service } of this._at(entry)) services.add(service)
+  }
+
+  private * _at (entry: RegisteredServer): Generator<RegisteredServer> {
+    for (const id of this._idsByAddress.get(addressOf(entry)) ?? []) yield this._listed.get(id)!.entry
   }
 }
 
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -83,7 +83,9 @@
     const { random, identity, seeds } = options
     this.invariants = new Invariants(options.watcher)
     this.declarations = new Declarations(this.invariants)
-    this.catalog = new Catalog({ lapseMs: options.lapseMs })
+    this.catalog = new Catalog({
+      lapseMs: options.lapseMs, isDeclared: (service) => this.declarations.service(service) !== undefined
+    })
     this.weightedPicker = new WeightedPicker(random)
     this.roster = new Roster({
       self: { ...identity, phase: 'starting', reachesStore: true, isWarm: false, sequence: 1 },
--- a/tests/discovery.spec.ts
+++ b/tests/discovery.spec.ts
@@ -24,7 +24,7 @@
   let catalog: Catalog
 
   beforeEach(() => {
-    catalog = new Catalog({ lapseMs: LAPSE_MS })
+    catalog = new Catalog({ lapseMs: LAPSE_MS, isDeclared: (service) => service !== 'undeclared' })
     catalog.apply([entry('s1'), entry('s2')].map((item) => ({ id: item.id, version: 1, entry: item })), 0)
   })
 
@@ -60,6 +60,19 @@
     expect(catalog.size).to.equal(0)
   })
 
+  // Guards against a row of another writer that takes a live server out of use.
+  it('should not let a registration for a service that is not declared take an address', () => {
+    catalog.apply([{ id: 's9', version: 5, entry: entry('s9', { port: 1, service: 'undeclared', version: 5 }) }], 0)
+    expect(ready()).to.deep.equal(['s1', 's2'])
+  })
+
+  it('should give an address back when its newest registration is removed', () => {
+    catalog.apply([{ id: 's9', version: 5, entry: entry('s9', { port: 1, service: 'other', version: 5 }) }], 0)
+    const affected = catalog.apply([{ id: 's9', version: 6 }], 1)
+    expect([...affected]).to.have.members(['s', 'other'])
+    expect(ready()).to.deep.equal(['s1', 's2'])
+  })
+
   it('should give an address to its newest registration', () => {
     catalog.apply([{ id: 's9', version: 5, entry: entry('s9', { port: 1, service: 'other', version: 5 }) }], 0)
     expect(ready()).to.deep.equal(['s2'])
