Obey what servers state in their answers: that they are leaving, and for how long they want no requests

Change: statements are read from the head of every answer and from probes, once, and become one event. A leaving server counts as draining in the catalog until another incarnation registers, whatever its row says; the entry tells the schedulers of its cell, and these tell all entries. A pause binds the entry that was asked: it names held servers to whoever schedules, returns grants for them (their share of the retry budget is given back), sends no probes, and refuses at once with the time of the first return when all servers of a service are held.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -39,7 +39,7 @@
     folder('core/src/members', [...SHARED, 'budgets', 'discovery', 'placement', 'store/row']),
     folder('core/src/placement', [...SHARED, 'budgets', 'configuration', 'discovery', 'members']),
     folder('core/src/requests', [...SHARED, 'configuration', 'discovery', 'members', 'placement']),
-    folder('entry/src/backend', ['caller/exchange', 'dialect', 'errors', 'headers', 'pendingInput']),
+    folder('entry/src/backend', ['caller/exchange', 'dialect', 'errors', 'headers', 'pendingInput', 'serverStatement']),
     folder('entry/src/caller', ['backend/answer', 'dialect', 'errors', 'headers', 'runtime']),
     folder('entry/src/directory', ['dialect', 'runtime']),
     folder('entry/src/operators', ['caller/body', 'errors', 'runtime']),
--- a/packages/core/src/budgets/retryBudget.ts
+++ b/packages/core/src/budgets/retryBudget.ts
@@ -49,6 +49,11 @@
     this._spent.add(now)
   }
 
+  /** Takes back a further attempt that was not sent. */
+  refund (now: number): void {
+    this._spent.add(now, -1)
+  }
+
   private _allowed (share: number, now: number): number {
     const { ratio, slack } = this._tolerance
     return this._requests.total(now) * ratio * USED_RATIO_FRACTION + slack * share
--- a/packages/core/src/discovery/catalog.ts
+++ b/packages/core/src/discovery/catalog.ts
@@ -17,6 +17,9 @@
   isDeclared: (service: string) => boolean
 }
 
+/** Bounds memory. Servers that left this long ago are no longer registered. */
+const MAX_LEAVING_SERVERS = 10_000
+
 interface ListedServer {
   entry: RegisteredServer
   /** Time until which a registration that lapsed during a store outage remains valid. */
@@ -26,6 +29,8 @@
 /** Registered servers by id, and the registrations of each address. */
 export class Catalog {
   private readonly _listed = new Map<string, ListedServer>()
+  /** Incarnations that stated in an answer that they are leaving, by server id. */
+  private readonly _leaving = new Map<string, string>()
   private readonly _idsByAddress = new Map<string, Set<string>>()
   private readonly _options: CatalogOptions
   private _storeRecoveredAt = -Infinity
@@ -56,6 +61,24 @@
     return affected
   }
 
+  /**
+   * Records that a server stated that it is leaving. It counts as draining until another incarnation of it registers, whatever its
+   * registration says. Returns the affected services, none if this was known or concerns an earlier incarnation.
+   */
+  markLeaving (id: string, incarnation: string): Set<string> {
+    const affected = new Set<string>()
+    const listed = this._listed.get(id)
+    if (this._leaving.get(id) === incarnation || (listed && listed.entry.incarnation !== incarnation)) return affected
+    this._leaving.delete(id)
+    this._leaving.set(id, incarnation)
+    const oldest = this._leaving.size > MAX_LEAVING_SERVERS ? this._leaving.keys().next().value : undefined
+    if (oldest !== undefined) this._leaving.delete(oldest)
+    if (!listed) return affected
+    listed.entry = this._withStatedState(listed.entry)
+    this._addServicesAt(listed.entry, affected)
+    return affected
+  }
+
   /** Removes registrations that were not renewed in time after an outage. Returns the affected services. */
   expire (now: number): Set<string> {
     const affected = new Set<string>()
@@ -85,7 +108,12 @@
     return [...this._listed.values()].map(({ entry }) => entry)
   }
 
-  private _register (entry: RegisteredServer): void {
+  private _withStatedState (entry: RegisteredServer): RegisteredServer {
+    return this._leaving.get(entry.id) === entry.incarnation ? { ...entry, state: 'draining' } : entry
+  }
+
+  private _register (registered: RegisteredServer): void {
+    const entry = this._withStatedState(registered)
     const previous = this._listed.get(entry.id)?.entry
     if (previous) this._removeAddress(previous)
     this._listed.set(entry.id, { entry, lapsesAt: Infinity })
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -188,6 +188,8 @@
   | 'server-silent'
   | 'server-back'
   | 'server-moved'
+  | 'server-leaving'
+  | 'server-held'
   | 'row-unreadable'
   | 'member'
   | 'phase'
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -15,6 +15,8 @@
 import { WarmUp } from './members/warmUp.js'
 import { Cells } from './placement/cells.js'
 import { SchedulerHost, UNUSED_REPORT, type Tolerances } from './placement/schedulerHost.js'
+import { ServerHolds } from './placement/serverHolds.js'
+import { ServerStatements } from './placement/serverStatements.js'
 import { shuffled, type Random } from './random.js'
 import { CellSelector } from './requests/cellSelector.js'
 import { RequestHandler } from './requests/requestHandler.js'
@@ -66,12 +68,14 @@
   readonly host: SchedulerHost
   readonly requests: RequestHandler
   readonly cells: Cells
+  readonly holds: ServerHolds
   readonly weightedPicker: WeightedPicker
   private readonly _options: EntryOptions
   private readonly _outbox = new Outbox()
   private readonly _joining: Joining
   private readonly _registration: Registration
   private readonly _schedulerClient: SchedulerClient
+  private readonly _statements: ServerStatements
   private readonly _warmUp = new WarmUp(MAX_ACTIVE_TICK_MS)
   private _now = 0
   private _stoppedAt: number | undefined
@@ -113,13 +117,25 @@
     })
     this._registration = new Registration({ roster, roles, outbox, random })
     this._joining = new Joining({ roster, seeds, outbox, random, isFirstStart: options.isFirstStart })
-    this.host = new SchedulerHost({ cells, random, declarations, roster, roles, outbox, tolerances: options.tolerances })
+    const holds = new ServerHolds({ catalog, random })
+    this.holds = holds
+    this._statements = new ServerStatements({
+      catalog,
+      cells,
+      holds,
+      outbox,
+      roles,
+      roster,
+      serversChanged: (services, now) => this.host.serversChanged(services, now)
+    })
+    this.host = new SchedulerHost({ cells, random, declarations, roster, roles, outbox, tolerances: options.tolerances, holds })
     this._schedulerClient = new SchedulerClient({
       roster,
       roles,
       host: this.host,
       outbox,
       random,
+      heldServers: (service, now) => holds.heldOf(service, now),
       timedOut: (schedulerRequest, now) => this.requests.schedulerTimedOut(schedulerRequest, now)
     })
     const cellSelector = new CellSelector({ cells, roster, random })
@@ -131,7 +147,8 @@
       schedulerClient: this._schedulerClient,
       outbox,
       invariants,
-      cellSelector
+      cellSelector,
+      holds
     })
     this.host.connect(this.requests)
   }
@@ -189,6 +206,7 @@
       case 'attempt-ended': return this._attemptEnded(event, now)
       case 'attempt-streaming': return this.requests.streamingStarted(event.attempt, now)
       case 'probed': return this._probed(event, now)
+      case 'server-stated': return this._statements.stated(event, now)
       case 'received': return this._received(event, now)
       case 'pulled': return event.state && this.replication.pulled(event.state, now)
       case 'table-read': return this.replication.tableRead(event.table, event.reading, now)
@@ -205,6 +223,7 @@
     this.requests.tick(now)
     this._schedulerClient.tick(now)
     this.host.tick(now)
+    this._statements.tick(now)
     this._registration.tick(this.phase === 'ready' && this.replication.hasAllTables, now)
     if (this.phase === 'ready' && !this.roster.self.isWarm && this._warmUp.ran(now)) this._announceWarm(now)
     this._exitIfIdle(now)
@@ -254,6 +273,7 @@
         return
       case 'queued': return this._schedulerClient.queued(from.instance, message.asks, now)
       case 'unknown': return this._schedulerClient.unknown(from.instance, message.asks, now)
+      case 'server-leaving': return this._statements.reported(from.instance, message, now)
     }
   }
 
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -49,6 +49,18 @@
   moved?: boolean
 }
 
+/** A backend server stated something about itself in an answer. */
+export interface ServerStatedEvent {
+  kind: 'server-stated'
+  server: string
+  incarnation: string
+  service: string
+  /** It is leaving and takes no new requests. */
+  leaving: boolean
+  /** Time for which it wants nothing from this entry, in milliseconds. */
+  holdMs?: number
+}
+
 /** A message from another entry arrived. */
 export interface ReceivedEvent {
   kind: 'received'
@@ -88,6 +100,7 @@
   | AttemptEvent
   | StreamingEvent
   | ProbedEvent
+  | ServerStatedEvent
   | ReceivedEvent
   | PulledEvent
   | TableReadEvent
--- a/packages/core/src/members/peerMessages.ts
+++ b/packages/core/src/members/peerMessages.ts
@@ -168,6 +168,13 @@
   asks: number[]
 }
 
+/** Reports that a server stated in an answer that it is leaving. */
+export interface ServerLeavingMessage {
+  kind: 'server-leaving'
+  server: string
+  incarnation: string
+}
+
 /** Any message between entries. */
 export type PeerMessage =
   | Ping
@@ -186,6 +193,7 @@
   | WaitingMessage
   | UnknownMessage
   | CellLoadMessage
+  | ServerLeavingMessage
 
 /** A member's replicas of the store tables, for a member that joins or has stale replicas. */
 export interface PeerState {
--- a/packages/core/src/placement/scheduler.ts
+++ b/packages/core/src/placement/scheduler.ts
@@ -45,6 +45,8 @@
   /** Fraction of the limits over all entries that this scheduler may use, between 0 and 1. */
   share: () => number
   listener: SchedulerListener
+  /** Whether a server may be probed now; always by default. */
+  mayProbe?: (server: RegisteredServer, now: number) => boolean
   /** How load readings are requested before placements; frequent readings by default. */
   loadReadingPolicy?: () => LoadReadingPolicy
 }
@@ -162,6 +164,7 @@
     if (!record) return
     const outstanding = record.recordEnded(id, report, now)
     if (report.load) this.work.recordPace(report.load.pace)
+    if (outstanding?.isFurtherAttempt && report.outcome === 'unused') this._retryBudget.refund(now)
     if (outstanding && report.outcome === 'answered') {
       const fullAtEnd = report.load !== undefined && report.load.running + 1 >= report.load.slots
       this.work.recordDuration(route, report.tookMs, { ...outstanding, fullAtEnd })
@@ -260,7 +263,7 @@
     if (readings === 0) return false
     if (now < waiting.awaitReadingsUntil && candidates.some(({ record }) => record.probedAt !== undefined)) return true
     if (waiting.readingRounds >= maxRounds || candidates[0]!.fresh) return false
-    const candidatesToRead = candidates.filter(({ fresh, record }) => !fresh && record.probedAt === undefined).slice(0, readings)
+    const candidatesToRead = candidates.filter(({ fresh, record }) => !fresh && this._mayProbe(record, now)).slice(0, readings)
     if (candidatesToRead.length === 0) return false
     waiting.readingRounds += 1
     waiting.awaitReadingsUntil = now + LOAD_READING_TIMEOUT_MS
@@ -290,7 +293,9 @@
     this._queue.remove(request.id)
     if (usesRetryBudget(request.purpose)) this._retryBudget.spend(now)
     if (record.isCold(now)) record.cold.spend(now)
-    record.recordSent(request.id, { sentAt: now, expectedAt: now + responseMs, deadlineAt: request.deadlineAt, pace, full })
+    const isFurtherAttempt = usesRetryBudget(request.purpose)
+    const { deadlineAt } = request
+    record.recordSent(request.id, { sentAt: now, expectedAt: now + responseMs, deadlineAt, pace, full, isFurtherAttempt })
     this._options.listener.granted({ request, server: record.entry, expectedMs: responseMs, basis: basisOf(record, now) })
   }
 
@@ -387,7 +392,12 @@
     return Math.max(MIN_RETRY_AFTER_MS, rate === 0 ? NO_SERVER_RETRY_AFTER_MS : this._queue.length / rate)
   }
 
+  private _mayProbe ({ probedAt, entry }: ServerRecord, now: number): boolean {
+    return probedAt === undefined && (this._options.mayProbe?.(entry, now) ?? true)
+  }
+
   private _probe (record: ServerRecord, now: number): void {
+    if (!this._mayProbe(record, now)) return
     record.probedAt = now
     this._options.listener.probe(record.entry)
   }
--- a/packages/core/src/placement/schedulerHost.ts
+++ b/packages/core/src/placement/schedulerHost.ts
@@ -12,6 +12,7 @@
 import type { Cells } from './cells.js'
 import { Overflow } from './overflow.js'
 import { FREQUENT_READINGS, Scheduler, REDUCED_READINGS } from './scheduler.js'
+import type { ServerHolds } from './serverHolds.js'
 import type { ProbeAnswer } from './serverRecord.js'
 
 /** Limits on the load that all entries together may put on backend servers. */
@@ -36,6 +37,7 @@
   roles: Roles
   outbox: Outbox
   tolerances: Tolerances
+  holds: ServerHolds
 }
 
 /** The scheduler of a cell, and the reported loads of the other cells of its service. */
@@ -220,6 +222,7 @@
       retry: { ratio, slack: slack / cells.of(service).length, windowMs },
       cold: () => ({ ...tolerances.cold, perSecond: declarations.service(service)?.coldPerSecond ?? DEFAULT_COLD_PER_SECOND }),
       share: () => this._shareOf(cell),
+      mayProbe: (server, now) => !this._options.holds.isHeld(server, now),
       loadReadingPolicy: () => this._options.roster.isLarge ? REDUCED_READINGS : FREQUENT_READINGS,
       listener: {
         granted: (grant) => this._granted(grant),
--- a/packages/core/src/placement/serverRecord.ts
+++ b/packages/core/src/placement/serverRecord.ts
@@ -11,6 +11,8 @@
   deadlineAt: number
   pace: number
   full: boolean
+  /** Whether it counts against the retry budget. */
+  isFurtherAttempt?: boolean
 }
 
 /** The answer of a server to a probe. */
--- a/packages/core/src/requests/requestHandler.ts
+++ b/packages/core/src/requests/requestHandler.ts
@@ -7,6 +7,7 @@
 import type { Roster } from '../members/roster.js'
 import type { AttemptReport, Grant, Purpose, Refusal, RefusalReason } from '../placement/placementRequest.js'
 import { UNUSED_REPORT, type LocalRequestListener, type SchedulerHost } from '../placement/schedulerHost.js'
+import type { ServerHolds } from '../placement/serverHolds.js'
 import type { CellSelector } from './cellSelector.js'
 import { newRequest, type SchedulerRequest, type Attempt, type OpenRequest, type RequestSpec } from './request.js'
 import type { SchedulerClient } from './schedulerClient.js'
@@ -20,6 +21,7 @@
   outbox: Outbox
   invariants: Invariants
   cellSelector: CellSelector
+  holds: ServerHolds
 }
 
 /** The handler hedges, that is, asks for a second server, once an answer takes this many times as long as expected. */
@@ -32,6 +34,8 @@
 /** The handler starts no attempt when less time than this is left. */
 const MIN_ATTEMPT_MS = 2
 const STOPPING_RETRY_AFTER_MS = 100
+/** Servers may hold back for as long as they run; callers are not told to wait longer than this. */
+const MAX_RETRY_AFTER_MS = 60_000
 /** Other schedulers have replaced the unreachable ones after this time. */
 const NO_ANSWER_RETRY_AFTER_MS = 250
 
@@ -196,7 +200,9 @@
   }
 
   private _requestServerFrom (request: OpenRequest, purpose: Purpose, scheduler: string, now: number): void {
-    if (request.schedulerRequestCount >= MAX_SCHEDULER_REQUESTS) return this._schedulerRequestsExhausted(request, now)
+    if (request.schedulerRequestCount >= MAX_SCHEDULER_REQUESTS || this._firstReturnMs(request, now) > 0) {
+      return this._schedulerRequestsExhausted(request, now)
+    }
     this._lastSchedulerRequestId += 1
     request.schedulerRequestCount += 1
     const schedulerRequest: SchedulerRequest = {
@@ -219,6 +225,19 @@
     this._end(request, request.sentTo.length > 0 ? 'shed' : 'no-server', NO_ANSWER_RETRY_AFTER_MS, now)
   }
 
+  /** Time until a server of the request's service wants requests of this entry again; 0 if one does now or if none is registered. */
+  private _firstReturnMs ({ spec: { service } }: OpenRequest, now: number): number {
+    const { holds, declarations } = this._options
+    return holds.firstReturnMs(service, ({ zone }) => declarations.zoneIsIn(zone), now)
+  }
+
+  /** When the caller of a request that no server took may retry: not before a server wants requests of this entry again. */
+  private _retryAfterMs (request: OpenRequest, reason: FailureReason, suggestedMs: number | undefined, now: number): number | undefined {
+    if (reason !== 'no-server' && reason !== 'shed' && reason !== 'overload') return suggestedMs
+    const firstReturnMs = this._firstReturnMs(request, now)
+    return firstReturnMs > 0 ? Math.min(MAX_RETRY_AFTER_MS, firstReturnMs) : suggestedMs
+  }
+
   private _dispatch (
     request: OpenRequest, schedulerRequest: SchedulerRequest, { server, expectedMs, basis }: Omit<Grant, 'request'>, now: number
   ): void {
@@ -324,9 +343,10 @@
 
   /** Returns why the granted server must not be used, or undefined: this entry may have newer information than the scheduler. */
   private _grantRejectionReason (request: OpenRequest, server: RegisteredServer, now: number): string | undefined {
-    const { declarations, catalog } = this._options
+    const { declarations, catalog, holds } = this._options
     if (!declarations.zoneIsIn(server.zone)) return 'zone-out'
     if (catalog.get(server.id)?.state === 'draining') return 'draining'
+    if (holds.isHeld(server, now)) return 'held'
     if (server.service !== request.spec.service) return 'other-service'
     if (request.avoid.includes(server.id)) return 'used-before'
     if (!request.spec.route.repeatable && request.mayHaveRun) return 'may-have-run'
@@ -365,12 +385,13 @@
   }
 
   /** Ends a request without a successful answer: passes on a server's error answer if there is one, or refuses the request. */
-  private _end (request: OpenRequest, reason: FailureReason, retryAfterMs: number | undefined, now: number): void {
+  private _end (request: OpenRequest, reason: FailureReason, suggestedMs: number | undefined, now: number): void {
     const { spec, fallbackAttempt } = request
     const { outbox, invariants } = this._options
     const mayHaveRun = request.mayHaveRun || request.attempts.size > 0
     this._close(request, now)
     const tookMs = Math.round(now - request.arrivedAt)
+    const retryAfterMs = this._retryAfterMs(request, reason, suggestedMs, now)
     if (fallbackAttempt !== undefined && !request.streaming) {
       outbox.log({
         decision: 'answered',
--- a/packages/core/src/requests/schedulerClient.ts
+++ b/packages/core/src/requests/schedulerClient.ts
@@ -16,6 +16,8 @@
   host: SchedulerHost
   outbox: Outbox
   random: Random
+  /** Ids of the servers of a service that the scheduler must not grant to this entry now. */
+  heldServers: (service: string, now: number) => string[]
   /** Called when the scheduler did not answer in time, or no longer knows the request. */
   timedOut: (schedulerRequest: SchedulerRequest, now: number) => void
 }
@@ -67,7 +69,7 @@
   /** Asks the scheduler for a server. */
   place (request: OpenRequest, schedulerRequest: SchedulerRequest, now: number): void {
     const { roster, host, outbox } = this._options
-    const message = placeMessage(request, schedulerRequest, now)
+    const message = this._placeMessage(request, schedulerRequest, now)
     if (schedulerRequest.scheduler === roster.self.instance) return host.place(roster.self, message, now)
     const to = roster.get(schedulerRequest.scheduler)
     this._pending.set(schedulerRequest.id, { ask: schedulerRequest, request, checkedAt: now })
@@ -158,7 +160,7 @@
   private _resend (pending: PendingRequest, now: number): void {
     pending.ask.resendCount += 1
     const to = this._options.roster.get(pending.ask.scheduler)
-    if (to) this._options.outbox.send(to, placeMessage(pending.request, pending.ask, now))
+    if (to) this._options.outbox.send(to, this._placeMessage(pending.request, pending.ask, now))
   }
 
   private _addQueueCheck (pending: PendingRequest, checks: Map<string, { to: Member, asks: number[] }>, now: number): void {
@@ -170,23 +172,24 @@
     if (check) check.asks.push(id)
     else if (to) checks.set(scheduler, { to, asks: [id] })
   }
-}
 
-function placeMessage ({ spec, targetAt, expiresAt, avoid }: OpenRequest, schedulerRequest: SchedulerRequest, now: number): PlaceMessage {
-  return {
-    kind: 'place',
-    ask: schedulerRequest.id,
-    label: spec.label,
-    service: spec.service,
-    cell: schedulerRequest.cell,
-    route: spec.route.name,
-    purpose: schedulerRequest.purpose,
-    priority: spec.route.priority,
-    targetMs: spec.route.targetMs,
-    targetLeftMs: Math.round(targetAt - now),
-    leftMs: Math.round(expiresAt - now),
-    waitMs: Math.round(spec.deadlineMs),
-    avoid,
-    bodyBytes: spec.bodyBytes
+  private _placeMessage (request: OpenRequest, schedulerRequest: SchedulerRequest, now: number): PlaceMessage {
+    const { spec, targetAt, expiresAt, avoid } = request
+    return {
+      kind: 'place',
+      ask: schedulerRequest.id,
+      label: spec.label,
+      service: spec.service,
+      cell: schedulerRequest.cell,
+      route: spec.route.name,
+      purpose: schedulerRequest.purpose,
+      priority: spec.route.priority,
+      targetMs: spec.route.targetMs,
+      targetLeftMs: Math.round(targetAt - now),
+      leftMs: Math.round(expiresAt - now),
+      waitMs: Math.round(spec.deadlineMs),
+      avoid: [...avoid, ...this._options.heldServers(spec.service, now)],
+      bodyBytes: spec.bodyBytes
+    }
   }
 }
--- a/packages/entry/src/backend/backendClient.ts
+++ b/packages/entry/src/backend/backendClient.ts
@@ -6,6 +6,7 @@
 import type { Dialect } from '../dialect.js'
 import { forwardedHeaders, headerFault, singleHeader } from '../headers.js'
 import { InputTimeout } from '../pendingInput.js'
+import { readServerStatement, type ServerStatement } from '../serverStatement.js'
 import { readAnswer, type Answer } from './answer.js'
 import { BackendAgent } from './backendAgent.js'
 
@@ -27,6 +28,8 @@
   whole (answer: Answer): void
   /** The answer has to be streamed; `done` reports whether all of it was passed on. */
   large (answer: Answer, done: (whole: boolean) => void): void
+  /** The server stated something about itself, in any answer; called before the end of the attempt. */
+  stated (statement: ServerStatement): void
   /** The attempt ended; called exactly once. */
   ended (report: AttemptReport, status?: number): void
 }
@@ -83,6 +86,8 @@
       load = this._loadOf(message)
       if (isDelimitedByClose(message)) onReset(message.socket, () => end('lost', message.statusCode))
       const fault = headFault(message)
+      const statement = fault === undefined ? this._statementOf(message, effect) : undefined
+      if (statement) listener.stated(statement)
       if (fault === undefined) return this._handleResponse(message, call, exchange, listener, end)
       this._options.onMalformed(exchange.spec.label, effect.server.id, fault)
       call.destroy()
@@ -181,6 +186,13 @@
     return text === undefined ? undefined : dialect.parseLoadReport(text, 'answer')
   }
 
+  /** A misdirected request was answered by another server, unless the answer names the addressed one. */
+  private _statementOf (message: IncomingMessage, { server }: DispatchEffect): ServerStatement | undefined {
+    const { headers } = this._options.dialect
+    if (message.statusCode === MISDIRECTED_STATUS && singleHeader(message.headers, headers.serverId) !== server.id) return undefined
+    return readServerStatement(message, headers, Date.now())
+  }
+
   private _requestHeaders (effect: DispatchEffect, exchange: Exchange): string[] {
     const { dialect: { headers } } = this._options
     const replacedHeaders = new Set(
--- a/packages/entry/src/backend/probeClient.ts
+++ b/packages/entry/src/backend/probeClient.ts
@@ -4,6 +4,7 @@
 import type { Dialect } from '../dialect.js'
 import { singleHeader, parseNonNegativeInteger } from '../headers.js'
 import { InputTimeout } from '../pendingInput.js'
+import { readServerStatement, type ServerStatement } from '../serverStatement.js'
 import { BackendAgent } from './backendAgent.js'
 
 /** Options of a `ProbeClient`. */
@@ -20,6 +21,8 @@
   answer?: ProbeAnswer
   /** A different server answered at the address. */
   moved?: boolean
+  /** What the server stated about itself. */
+  statement?: ServerStatement
 }
 
 const IDLE_TIMEOUT_MS = 4000
@@ -66,6 +69,7 @@
     if (named !== undefined && named !== server.id) return { moved: true }
     const load = singleHeader(message.headers, headers.load)
     return {
+      statement: readServerStatement(message, headers, Date.now()),
       answer: {
         healthy: message.statusCode === 200,
         coldMs: parseNonNegativeInteger(singleHeader(message.headers, headers.cold)),
--- a/packages/entry/src/caller/exchange.ts
+++ b/packages/entry/src/caller/exchange.ts
@@ -17,6 +17,8 @@
   isClosing: () => boolean
 }
 
+const UNAVAILABLE_STATUS = 503
+
 /** Sends the caller exactly one complete answer or one refusal, or closes the connection. */
 export class Exchange {
   readonly spec: RequestSpec
@@ -100,7 +102,11 @@
     if (this._answered || response.destroyed) return false
     this._answered = true
     const hasKnownLength = length !== undefined && this.method !== 'HEAD'
-    const headerLines = forwardedHeaders(answer.headers, (name) => name === headers.load || (hasKnownLength && name === 'content-length'))
+    const headerLines = forwardedHeaders(answer.headers, (name) => {
+      // A refusing server's time to retry concerns the entry: other servers may take the caller's next request sooner.
+      const isForEntry = name === headers.load || (name === headers.retryAfter && answer.status === UNAVAILABLE_STATUS)
+      return isForEntry || (hasKnownLength && name === 'content-length')
+    })
     if (hasKnownLength && answer.status !== 204 && answer.status !== 304) headerLines.push('content-length', String(length))
     if (headers.outcome !== undefined) headerLines.push(headers.outcome, 'answered')
     if (isClosing()) headerLines.push('connection', 'close')
--- a/packages/entry/src/defaultDialect.ts
+++ b/packages/entry/src/defaultDialect.ts
@@ -18,6 +18,7 @@
       serverId: `${prefix}-server`,
       load: `${prefix}-load`,
       notRun: `${prefix}-not-run`,
+      leaving: `${prefix}-leaving`,
       cold: `${prefix}-cold-ms`,
       retryAfter: 'retry-after',
       outcome: `${prefix}-outcome`,
--- a/packages/entry/src/dialect.ts
+++ b/packages/entry/src/dialect.ts
@@ -18,11 +18,13 @@
   load: string
   /** States that a backend server did not run the request. */
   notRun: string
+  /** States that a backend server is leaving. */
+  leaving: string
   /** Time for which a backend server remains cold, in milliseconds. */
   cold: string
   /** A backend server's signature on its answer. */
   signature?: string
-  /** Time after which a caller may retry, in seconds. */
+  /** Time after which a caller may retry, or for which a backend server wants no requests, in seconds. */
   retryAfter: string
   /** Outcome of a request and the reason for it, sent to callers. */
   outcome?: string
--- a/packages/entry/src/peers/datagramCodec.ts
+++ b/packages/entry/src/peers/datagramCodec.ts
@@ -39,7 +39,8 @@
   report: [['ask', 'number'], ['cell', 'string'], ['route', 'string'], ['server', 'string'], ['report', 'object']],
   withdraw: [['asks', 'numbers']],
   waiting: [['asks', 'numbers']],
-  unknown: [['asks', 'numbers']]
+  unknown: [['asks', 'numbers']],
+  'server-leaving': [['server', 'string'], ['incarnation', 'string']]
 }
 
 const KINDS = Object.keys(FIELDS) as Kind[]
--- a/packages/entry/src/runtime/entryNode.ts
+++ b/packages/entry/src/runtime/entryNode.ts
@@ -10,6 +10,7 @@
 import type { Envelope } from '../peers/datagramCodec.js'
 import type { DatagramPort } from '../peers/datagramPort.js'
 import type { PeerClient } from '../peers/peerClient.js'
+import type { ServerStatement } from '../serverStatement.js'
 import type { StoreExecutor } from '../store/storeExecutor.js'
 import { statusOf, type ControlTraffic, type Status } from './status.js'
 
@@ -190,8 +191,14 @@
     }
   }
 
-  private _probed ({ id: server, service }: RegisteredServer, result: ProbeResult): void {
-    this.handle({ kind: 'probed', server, service, ...result })
+  private _probed (server: RegisteredServer, { statement, ...result }: ProbeResult): void {
+    if (statement) this._stated(server, statement)
+    this.handle({ kind: 'probed', server: server.id, service: server.service, ...result })
+  }
+
+  private _stated ({ id: server, incarnation, service }: RegisteredServer, { leaving, holdMs, unreadable }: ServerStatement): void {
+    if (unreadable !== undefined) this.log.info({ decision: 'statement-unreadable', server, reason: unreadable })
+    if (leaving || holdMs !== undefined) this.handle({ kind: 'server-stated', server, incarnation, service, leaving, holdMs })
   }
 
   private _execute (effect: Effect): void {
@@ -223,6 +230,7 @@
     this._handlers.backends.dispatch(effect, exchange, {
       whole: (answer) => this._keepAnswer(request, attempt, answer),
       large: (answer, done) => this._stream(attempt, exchange, answer, done),
+      stated: (statement) => this._stated(effect.server, statement),
       ended: (report, status) => {
         this.handle({ kind: 'attempt-ended', attempt, report, status })
         if (!this.core.requests.isOpen(request)) this._discardRequest(request)
--- a/packages/entry/src/runtime/status.ts
+++ b/packages/entry/src/runtime/status.ts
@@ -42,6 +42,8 @@
   /** Age of the oldest replica of a store table, in milliseconds; -1 while a table has not been read yet. */
   copyAgeMs: number
   listedServers: number
+  /** Number of servers that want no requests from this entry now. */
+  heldServers: number
   openRequests: number
   servers: ServerStatus[]
   /** Number of violations of each invariant; empty while no invariant has been violated. */
@@ -65,6 +67,7 @@
     watcher: roles.watchers[0]?.instance,
     copyAgeMs: Number.isFinite(age) ? Math.round(age) : -1,
     listedServers: catalog.size,
+    heldServers: core.holds.count(now),
     openRequests,
     servers: serversOf(core, now),
     broken: [...core.invariants.counts].map(([name, count]) => ({ name, count })),
--- a/packages/standins/src/backend/standInBackend.ts
+++ b/packages/standins/src/backend/standInBackend.ts
@@ -69,6 +69,10 @@
   shed: boolean
   /** Refusals do not repeat the id of the request. */
   anonymousRefusals: boolean
+  /** All answers state that the server is leaving, whatever it has registered. */
+  leaving: boolean
+  /** Refusals state for how long the server wants no requests, in the format of `Retry-After`. */
+  retryAfter?: string
   /** Number of filler bytes that are added to each answer. */
   fillerBytes: number
   answerFault?: AnswerFault
@@ -104,8 +108,10 @@
   /** Number of connections with an endless answer: those open now, and all since the start. */
   endlessNow = 0
   endlessTotal = 0
+  /** Requests that reached the server, and when. */
+  readonly arrivals: Array<{ request: string, at: number }> = []
   readonly faults: BackendFaults = {
-    pace: 1, fail: false, shed: false, anonymousRefusals: false, fillerBytes: 0, unresponsive: false, resetWhenFull: false
+    pace: 1, fail: false, shed: false, anonymousRefusals: false, leaving: false, fillerBytes: 0, unresponsive: false, resetWhenFull: false
   }
 
   private readonly _options: BackendOptions
@@ -179,6 +185,7 @@
   private _handle (request: IncomingMessage, response: ServerResponse): void {
     if (this.faults.unresponsive) return
     response.setHeader(`${HEADER_PREFIX}-server`, this._options.id)
+    if (this.faults.leaving) response.setHeader(`${HEADER_PREFIX}-leaving`, '1')
     if (request.url === '/health') return this._answerHealthCheck(response)
     const expected = request.headers[`${HEADER_PREFIX}-expect-server`]
     const parts: Buffer[] = []
@@ -201,6 +208,7 @@
   private _accept (request: IncomingMessage, response: ServerResponse, body: Buffer): void {
     const { truth, zone, slots, queue } = this._options
     truth.arrived(zone, performance.now())
+    this.arrivals.push({ request: String(request.headers[REQUEST_ID] ?? ''), at: performance.now() })
     this._countColdArrival()
     if (this.faults.answerFault === 'endless-refusal') {
       response.setHeader(`${HEADER_PREFIX}-not-run`, '1')
@@ -222,6 +230,7 @@
     if (!this.faults.anonymousRefusals) response.setHeader(REQUEST_ID, headers[REQUEST_ID] ?? '')
     response.setHeader(`${HEADER_PREFIX}-not-run`, '1')
     response.setHeader(`${HEADER_PREFIX}-load`, this._formatLoad())
+    if (this.faults.retryAfter !== undefined) response.setHeader('retry-after', this.faults.retryAfter)
     this._lastRefusal.set(socket, rawAnswer(response, '503 Service Unavailable', text))
     response.setHeader('content-length', text.length)
     response.writeHead(503)
--- a/tests/schedulerLine.spec.ts
+++ b/tests/schedulerLine.spec.ts
@@ -20,6 +20,7 @@
       host: {},
       outbox: new Outbox(),
       random: new SeededRandom(1),
+      heldServers: () => [],
       timedOut: (ask: SchedulerRequest) => void timedOut.push(ask.id)
     } as unknown as SchedulerClientOptions)
   })
--- a/utils/mutations.mjs
+++ b/utils/mutations.mjs
@@ -32,6 +32,10 @@
   ['leaving-server', 'discovery/catalog.js', "entry.state === 'ready' && ", '', [
     ['requests/requestHandler.js', "if (catalog.get(server.id)?.state === 'draining')\n            return 'draining';", '']
   ]],
+  ['leaving-server', 'discovery/catalog.js',
+    "return this._leaving.get(entry.id) === entry.incarnation ? { ...entry, state: 'draining' } : entry;", 'return entry;'],
+  ['server-hold', 'placement/serverHolds.js', 'return hold !== undefined && hold.incarnation === incarnation && now < hold.until;',
+    'return false;', [['placement/serverHolds.js', 'if (hold.service === service && isCurrent && now < hold.until)', 'if (false)']]],
   ['leaving-server', 'store/storeAccess.js', 'if (overdueMs <= 0)', 'if (true)', [
     ['members/failureDetector.js', 'const SUSPECT_AFTER_MS = 350', 'const SUSPECT_AFTER_MS = 5000']
   ]],
