Let callers receive all answers before a stopping entry closes their connections

Cause: the exit waited for decisions and not for callers; and each answer of a stopping entry announced the close of its connection, so that Node closed it after the first one.

Change: a stop waits, within its grace time, for the responses that callers have not taken. Only the answer to the request read last announces the close, and nothing read later on that connection is handed over.

--- a/packages/entry/src/caller/callerListener.ts
+++ b/packages/entry/src/caller/callerListener.ts
@@ -13,6 +13,8 @@
   node: EntryNode
   /** Bodies up to this size are buffered, in bytes; larger ones are streamed. */
   holdBytes: number
+  /** Whether the connection of a request is to be closed after the response to it, if this entry is stopping. */
+  closeAfter: (request: IncomingMessage) => boolean
 }
 
 const STOPPING_RETRY_AFTER_S = '0.1'
@@ -30,13 +32,14 @@
   readonly listener: RequestListener = (request, response) => {
     const { node } = this._options
     response.on('error', () => {})
-    if (!node.acceptsRequests) return rejectBadRequest(response, new BadRequest(503, 'entry', 'this entry is stopping'), node)
+    const reject = (error: unknown): void => rejectBadRequest(response, error, node, () => this._isClosing(request))
+    if (!node.acceptsRequests) return reject(new BadRequest(503, 'entry', 'this entry is stopping'))
     const startedAt = node.now
     let spec: RequestSpec
     try {
       spec = resolveRequest(request, node.resolveContext())
     } catch (error) {
-      return rejectBadRequest(response, error, node)
+      return reject(error)
     }
     const mostBytes = node.core.declarations.limits!.bodyBytes
     readBody(request, { holdBytes: this._options.holdBytes, mostBytes }).then((body) => {
@@ -44,10 +47,14 @@
       spec.bodyBytes = body.length
       spec.deadlineMs -= node.now - startedAt
       if (request.socket.destroyed) return
-      const exchange = new Exchange({ request, response, spec, body, dialect: node.dialect, isClosing: () => node.closing })
+      const exchange = new Exchange({ request, response, spec, body, dialect: node.dialect, isClosing: () => this._isClosing(request) })
       this._trackRequest(request, response, spec.id)
       node.acceptRequest(exchange)
-    }).catch((error: unknown) => rejectBadRequest(response, error, node))
+    }).catch(reject)
+  }
+
+  private _isClosing (request: IncomingMessage): boolean {
+    return this._options.node.closing && this._options.closeAfter(request)
   }
 
   /** When a caller closes its connection, reports each request that is still open on it as abandoned. */
@@ -68,7 +75,7 @@
 }
 
 /** Rejects a request. An invalid one has not been sent to a backend server; after an internal error, that is unknown. */
-function rejectBadRequest (response: ServerResponse, error: unknown, node: EntryNode): void {
+function rejectBadRequest (response: ServerResponse, error: unknown, node: EntryNode, isClosing: () => boolean): void {
   if (response.headersSent || response.destroyed) return
   const bad = error instanceof BadRequest ? error : new BadRequest(500, 'request', 'internal error')
   if (!(error instanceof BadRequest)) node.log.error({ err: error }, 'request failed with an internal error')
@@ -80,7 +87,7 @@
   if (outcome !== undefined) headers[outcome] = stated
   if (reason !== undefined) headers[reason] = 'bad-request'
   if (bad.status === 503) headers[retryAfter] = node.closing ? STOPPING_RETRY_AFTER_S : NO_CONFIGURATION_RETRY_AFTER_S
-  if (bad.status === 413 || node.closing) headers.connection = 'close'
+  if (bad.status === 413 || isClosing()) headers.connection = 'close'
   response.writeHead(bad.status, headers)
   response.end(text)
 }
--- a/packages/entry/src/runtime/httpListener.ts
+++ b/packages/entry/src/runtime/httpListener.ts
@@ -1,5 +1,6 @@
 /** A Node HTTP server that can shut down gracefully. */
-import { createServer, type RequestListener, type Server } from 'node:http'
+import { once } from 'node:events'
+import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { afterPendingInput } from '../pendingInput.js'
 
@@ -31,6 +32,8 @@
   unanswered: number
   /** Whether a rejection was sent. It promises the caller that nothing read later on this connection runs. */
   rejected: boolean
+  /** The request that was read last. */
+  lastRequest?: IncomingMessage
 }
 
 /** Limits memory use. The request handlers enforce lower header limits and answer with a status of their own. */
@@ -49,6 +52,8 @@
   private readonly _server: Server
   private readonly _options: ListenerOptions
   private readonly _connections = new WeakMap<Socket, ConnectionState>()
+  /** Responses that callers have not taken yet. */
+  private readonly _openResponses = new Set<ServerResponse>()
 
   constructor (listener: RequestListener, options: ListenerOptions) {
     this._options = options
@@ -58,11 +63,7 @@
       const { socket } = request
       const connection = this._stateOf(socket)
       if (connection.rejected) return this._options.onDropped?.(callerOf(socket))
-      connection.requestsRead += 1
-      connection.unanswered += 1
-      response.once('finish', () => {
-        connection.unanswered -= 1
-      })
+      this._trackResponse(request, response, connection)
       try {
         listener(request, response)
       } catch (error) {
@@ -101,6 +102,22 @@
     })
   }
 
+  /**
+   * Whether the connection of a request is to be closed after the response to it. That is so if it was read last, since earlier responses
+   * must leave the connection open for the later ones. Nothing that is read afterwards is handed over.
+   */
+  closeAfter (request: IncomingMessage): boolean {
+    const connection = this._stateOf(request.socket)
+    if (connection.lastRequest !== request) return false
+    connection.rejected = true
+    return true
+  }
+
+  /** Resolves when callers have taken all responses to the requests that have been read. */
+  async answered (): Promise<void> {
+    while (this._openResponses.size > 0) await Promise.all([...this._openResponses].map((response) => once(response, 'close')))
+  }
+
   /** Closes all remaining connections immediately. */
   cut (): void {
     this._server.closeAllConnections()
@@ -110,6 +127,17 @@
     return (this._server.address() as AddressInfo).port
   }
 
+  private _trackResponse (request: IncomingMessage, response: ServerResponse, connection: ConnectionState): void {
+    connection.requestsRead += 1
+    connection.unanswered += 1
+    connection.lastRequest = request
+    this._openResponses.add(response)
+    response.once('close', () => this._openResponses.delete(response))
+    response.once('finish', () => {
+      connection.unanswered -= 1
+    })
+  }
+
   private _stateOf (socket: Socket): ConnectionState {
     let connection = this._connections.get(socket)
     if (!connection) {
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -1,5 +1,6 @@
 /** Assembles an entry process. This is the only module that depends on all components. */
 import { randomBytes, randomInt } from 'node:crypto'
+import type { IncomingMessage } from 'node:http'
 import type { Logger } from 'pino'
 import {
   EntryCore, SeededRandom, type DecisionLine, type EntryOptions, type Invariant, type RowReader, type Tolerances
@@ -109,7 +110,8 @@
     core: built.core, dialect: formats.dialect, log, logDecisions: settings.log.decisions, now, decisionObserver, recorder
   })
   components.node = node
-  components.callers = new CallerListener({ node, holdBytes: settings.callers.holdBytes })
+  const closeAfter = (request: IncomingMessage): boolean => callerServer.closeAfter(request)
+  components.callers = new CallerListener({ node, holdBytes: settings.callers.holdBytes, closeAfter })
   components.directory = new DirectoryListener({ node, keepSeconds: settings.directory.keepSeconds })
 
   const datagrams = new DatagramPort({
@@ -212,9 +214,12 @@
     stop: async () => {
       log.info({ decision: 'stopping', open: node.open })
       node.handle({ kind: 'stop' })
-      const graceful = await settlesWithin(hasLeft, settings.stop.graceSeconds * 1000 * STOP_GRACE_FRACTION)
+      const cutAt = now() + settings.stop.graceSeconds * 1000 * STOP_GRACE_FRACTION
+      const graceful = await settlesWithin(hasLeft, cutAt - now())
       const { open } = node
       built.core.invariants.check('stop-cuts-nothing', graceful || open === 0, () => `${open} requests at the stop limit`)
+      // Slow callers still receive answers.
+      await settlesWithin(callerServer.answered(), cutAt - now())
       callerServer.cut()
       peerServer.cut()
       await close()
--- a/packages/standins/src/backend/standInBackend.ts
+++ b/packages/standins/src/backend/standInBackend.ts
@@ -69,6 +69,8 @@
   shed: boolean
   /** Refusals do not repeat the id of the request. */
   anonymousRefusals: boolean
+  /** The server refuses requests before it has read their body, and reads on. */
+  refusesEarly: boolean
   /** All answers state that the server is leaving, whatever it has registered. */
   leaving: boolean
   /** Refusals state for how long the server wants no requests, in the format of `Retry-After`. */
@@ -111,7 +113,15 @@
   /** Requests that reached the server, and when. */
   readonly arrivals: Array<{ request: string, at: number }> = []
   readonly faults: BackendFaults = {
-    pace: 1, fail: false, shed: false, anonymousRefusals: false, leaving: false, fillerBytes: 0, unresponsive: false, resetWhenFull: false
+    pace: 1,
+    fail: false,
+    shed: false,
+    anonymousRefusals: false,
+    refusesEarly: false,
+    leaving: false,
+    fillerBytes: 0,
+    unresponsive: false,
+    resetWhenFull: false
   }
 
   private readonly _options: BackendOptions
@@ -187,6 +197,10 @@
     response.setHeader(`${HEADER_PREFIX}-server`, this._options.id)
     if (this.faults.leaving) response.setHeader(`${HEADER_PREFIX}-leaving`, '1')
     if (request.url === '/health') return this._answerHealthCheck(response)
+    if (this.faults.refusesEarly) {
+      request.resume()
+      return this._refuse(request, response)
+    }
     const expected = request.headers[`${HEADER_PREFIX}-expect-server`]
     const parts: Buffer[] = []
     request.on('data', (part: Buffer) => parts.push(part))
--- a/tests/entry.spec.ts
+++ b/tests/entry.spec.ts
@@ -326,6 +326,34 @@
     expect((await send(deployment.portOf(1), 'GET', '/orders')).status).to.equal(200)
   })
 
+  // Guards against a planned stop that closes a connection after the first of several answers.
+  it('should answer all requests that were sent without waiting when it is stopped', async () => {
+    await deployment.start(smallDocument(), [{ meanMs: 150 }, { meanMs: 150 }], ['a', 'a'])
+    const one = (name: string): string => `GET /orders HTTP/1.1\r\nhost: x\r\n${REQUEST_ID}: ${name}\r\n\r\n`
+    const { ended } = openRaw(deployment.portOf(0), ['p1', 'p2', 'p3', 'p4'].map(one).join(''))
+    await waitUntil(() => deployment.entries[0]!.node.open === 4)
+    const stopped = deployment.entries[0]!.stop()
+    const names = [...(await ended).matchAll(/"request":"(p\d)"/g)].map((match) => match[1])
+    expect(names).to.deep.equal(['p1', 'p2', 'p3', 'p4'])
+    expect(await stopped).to.equal(true)
+  })
+
+  // Guards against a planned stop that cuts off answers which a slow caller still receives.
+  it('should let a slow caller receive its answers whole when it is stopped', async () => {
+    await deployment.start(smallDocument(), [{}, {}], ['a', 'a'])
+    for (const { faults } of deployment.backends) faults.fillerBytes = 4_000_000
+    const one = (name: string): string => `GET /orders HTTP/1.1\r\nhost: x\r\n${REQUEST_ID}: ${name}\r\n\r\n`
+    const names = ['p1', 'p2', 'p3', 'p4']
+    const { socket, ended } = openRaw(deployment.portOf(0), names.map(one).join(''))
+    socket.pause()
+    await waitUntil(() => names.every((name) => deployment.truth.runCount(name) === 1))
+    const stopped = deployment.entries[0]!.stop()
+    setTimeout(() => socket.resume(), 1500)
+    const found = [...(await ended).matchAll(/"request":"(p\d)".*?"filling":"(x+)"/g)].map(([, name, filling]) => [name, filling!.length])
+    expect(found).to.deep.equal(names.map((name) => [name, 4_000_000]))
+    expect(await stopped).to.equal(true)
+  })
+
   it('should take requests of callers that kept its address while it stops', async () => {
     await deployment.start(smallDocument(), [{}], ['a', 'a'])
     const stopped = deployment.entries[0]!.stop()
