Read on after an early answer to an upload, so that the next request on the connection is served

Cause: the answer ended the connection to the server and with it the pipe from the caller, whose request stayed paused with bytes unread; Node reads on by itself only in a body that nobody has begun to read.

Change: once a response is sent, the rest of its request's body is read and discarded, up to 64 MiB. A connection to a server whose answer ended before the body was sent is closed.

--- a/packages/entry/src/backend/backendClient.ts
+++ b/packages/entry/src/backend/backendClient.ts
@@ -83,6 +83,8 @@
     const connection = trackConnection(call, this._options.connectMs)
     call.on('response', (message) => {
       answer = message
+      // The rest of the body has no reader any more. On this connection, the server would take other bytes for it.
+      message.once('close', () => call.writableEnded || call.destroy())
       load = this._loadOf(message)
       if (isDelimitedByClose(message)) onReset(message.socket, () => end('lost', message.statusCode))
       const fault = headFault(message)
--- a/packages/entry/src/runtime/httpListener.ts
+++ b/packages/entry/src/runtime/httpListener.ts
@@ -41,6 +41,8 @@
 const CONNECTION_CHECK_INTERVAL_MS = 250
 /** How long a rejected connection stays open, so that the caller can read the rejection before the connection is closed. */
 const REJECTED_LINGER_MS = 1000
+/** A body of which more than this follows its response costs more than a new connection. */
+const MAX_DISCARDED_BYTES = 67_108_864
 const HEADER_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
 const ERROR_STATUS_LINES: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -135,6 +137,7 @@
     response.once('close', () => this._openResponses.delete(response))
     response.once('finish', () => {
       connection.unanswered -= 1
+      if (!request.complete) discardBody(request)
     })
   }
 
@@ -179,6 +182,17 @@
   }
 }
 
+/** Reads the rest of a body that nobody needs, since the caller's next request follows it. */
+function discardBody (request: IncomingMessage): void {
+  let size = 0
+  request.unpipe()
+  request.on('data', (part: Buffer) => {
+    size += part.length
+    if (size > MAX_DISCARDED_BYTES) request.socket.destroy()
+  })
+  request.resume()
+}
+
 function callerOf ({ remoteAddress, remotePort }: Socket): string {
   return `${remoteAddress}:${remotePort}`
 }
