Ignore a SIGHUP from the first line of the program on

Cause: the handler was set only after the settings had been read, so a SIGHUP in the first 200 ms ended the starting process.

--- a/utils/loader.cjs
+++ b/utils/loader.cjs
@@ -1,4 +1,7 @@
 // Starts the bundled entry with the V8 code cache from the build. A restart then compiles about half as much code.
+// By default a SIGHUP ends the process. The entry sets its own handler once it has read its settings.
+process.on('SIGHUP', () => {})
+
 const { existsSync, readFileSync } = require('node:fs')
 const { createRequire, wrap } = require('node:module')
 const { join } = require('node:path')
