--- a/packages/entry/src/defaultDialect.ts
+++ b/packages/entry/src/defaultDialect.ts
@@ -38,7 +38,7 @@
       if (name !== undefined && value !== undefined && /^\d{1,6}(\.\d{1,6})?$/.test(value)) values.set(name, Number(value))
     }
     const [running, waiting, slots, pace = 1] = LOAD_FIELDS.map((field) => values.get(field))
-    if (running === undefined || waiting === undefined || slots === undefined) return undefined
+    if (running === undefined || waiting === undefined || slots === undefined || slots < 1 || pace <= 0) return undefined
     return { running, waiting, slots, pace }
   }
 
--- a/tests/platform.spec.ts
+++ b/tests/platform.spec.ts
@@ -179,7 +179,9 @@
   it('should read a load, with and without a pace', () => {
     expect(dialect.parseLoadReport('3,1,8,400', 'probe')).to.deep.equal({ running: 3, waiting: 1, slots: 8, pace: 4 })
     expect(dialect.parseLoadReport('3,0,8', 'probe')).to.deep.equal({ running: 3, waiting: 0, slots: 8, pace: 1 })
-    expect(dialect.parseLoadReport('busy', 'probe')).to.equal(undefined)
+    for (const text of ['busy', '', '1,0,0', '1,0,2,0', `${'9'.repeat(400)},0,2`, `1,0,${'9'.repeat(400)}`, '1,0,2,1234567', '-1,0,2']) {
+      expect(dialect.parseLoadReport(text, 'probe'), text).to.equal(undefined)
+    }
   })
 
   it('should not count the request that an answer belongs to', () => {
