Pass the id of a request on as it came

Callers saw: a request with an id above 64 characters reached its server under the first 64, which no caller had sent.

Cause: the label that logs and messages between entries use, which is cut short, was also sent to the server.

Measured: the new spec of entry.spec on the code before: failing (64 of 2,000 characters passed on); after: passes.

--- a/packages/entry/src/backend/backendClient.ts
+++ b/packages/entry/src/backend/backendClient.ts
@@ -154,10 +154,10 @@
    * Whether an answer belongs to this request. A late or repeated answer to an earlier request carries the id of that request. A refusal
    * without an id counts only as the first answer on its connection: on a reused one, it may be a repetition of an earlier refusal.
    */
-  private _namesRequest (message: IncomingMessage, call: ClientRequest, { spec }: Exchange, isRefusal: boolean): boolean {
+  private _namesRequest (message: IncomingMessage, call: ClientRequest, { requestId }: Exchange, isRefusal: boolean): boolean {
     const { headers, requiresSignature } = this._options.dialect
     const named = singleHeader(message.headers, headers.requestId)
-    if (named !== undefined) return named === spec.label
+    if (named !== undefined) return named === requestId
     return isRefusal ? !call.reusedSocket : !requiresSignature
   }
 
@@ -201,7 +201,7 @@
       [headers.deadline, headers.expectServer, headers.requestId, headers.depth, headers.retry, headers.service, headers.kind]
     )
     const headerLines = forwardedHeaders(exchange.rawHeaders, (name) => name === 'content-length' || replacedHeaders.has(name))
-    headerLines.push(headers.requestId, exchange.spec.label)
+    headerLines.push(headers.requestId, exchange.requestId)
     headerLines.push(headers.deadline, String(Math.max(1, Math.floor(effect.leftMs))))
     headerLines.push(headers.expectServer, effect.server.id)
     if (headers.depth !== undefined) headerLines.push(headers.depth, String(exchange.spec.depth + 1))
--- a/packages/entry/src/caller/exchange.ts
+++ b/packages/entry/src/caller/exchange.ts
@@ -3,7 +3,7 @@
 import type { RefuseEffect, RequestSpec } from '@gooseberryspan/core'
 import type { Answer } from '../backend/answer.js'
 import type { Dialect } from '../dialect.js'
-import { forwardedHeaders } from '../headers.js'
+import { forwardedHeaders, singleHeader } from '../headers.js'
 import type { Body } from './body.js'
 
 /** Options of an `Exchange`. */
@@ -26,6 +26,8 @@
   readonly method: string
   readonly path: string
   readonly rawHeaders: string[]
+  /** The caller's id for the request as it came, which the label in logs and messages may cut short. */
+  readonly requestId: string
   private readonly _options: ExchangeOptions
   private _answered = false
   private _streaming = false
@@ -37,6 +39,7 @@
     this.method = options.request.method ?? 'GET'
     this.path = options.request.url ?? '/'
     this.rawHeaders = options.request.rawHeaders
+    this.requestId = singleHeader(options.request.headers, options.dialect.headers.requestId) ?? options.spec.label
   }
 
   /** Whether an answer or refusal has been sent or has begun. */
@@ -75,7 +78,7 @@
     if (this._streaming) return void response.destroy()
     if (this._answered || response.destroyed) return
     this._answered = true
-    const body = JSON.stringify({ outcome: effect.outcome, reason: effect.reason, request: this.spec.label })
+    const body = JSON.stringify({ outcome: effect.outcome, reason: effect.reason, request: this.requestId })
     const headerLines = ['content-type', 'application/json', 'content-length', String(Buffer.byteLength(body))]
     if (headers.outcome !== undefined) headerLines.push(headers.outcome, effect.outcome)
     if (headers.reason !== undefined) headerLines.push(headers.reason, effect.reason)
--- a/tests/entry.spec.ts
+++ b/tests/entry.spec.ts
@@ -27,6 +27,15 @@
     expect(JSON.parse(answer.text)).to.include({ request: 'm1', server: 'orders-0' })
   })
 
+  // Guards against a request that reaches its server under an id which its caller did not send.
+  it('should pass on the id of a request as it came, however long it is', async () => {
+    await deployment.start(smallDocument(), [{}], ['a'])
+    const id = 'm'.repeat(2000)
+    const answer = await send(deployment.portOf(0), 'POST', '/orders', { [REQUEST_ID]: id }, 'order')
+    expect(JSON.parse(answer.text)).to.include({ request: id })
+    expect(deployment.truth.runCount(id)).to.equal(1)
+  })
+
   it('should answer through every entry, whichever of them schedules', async () => {
     await deployment.start(smallDocument(), [{}, { zone: 'b' }], ['a', 'b', 'a'])
     for (let index = 0; index < 12; index++) {
