--- a/packages/entry/src/peers/datagramCodec.ts
+++ b/packages/entry/src/peers/datagramCodec.ts
@@ -2,6 +2,7 @@
 import {
   isPort, parseRegisteredServer, type Member, type MemberUpdate, type PeerMessage, type Phase, type RegisteredServer, type Standing
 } from '@gooseberryspan/core'
+import { FIELD_SCHEMAS } from './fieldSchemas.js'
 import { packr } from './packr.js'
 
 /** The messages of one datagram with their sender. */
@@ -12,8 +13,8 @@
 }
 
 /** The type of a message field; a question mark marks an optional field. */
-type FieldType =
-  'number' | 'string' | 'list' | 'numbers' | 'strings' | 'object' | 'news' | 'server' | 'number?' | 'numbers?' | 'object?' | 'string?'
+type RequiredFieldType = 'number' | 'string' | 'numbers' | 'strings' | 'news' | 'server' | keyof typeof FIELD_SCHEMAS
+type FieldType = RequiredFieldType | `${RequiredFieldType}?`
 
 type Kind = PeerMessage['kind']
 
@@ -24,19 +25,19 @@
   gossip: [['news', 'news']],
   compare: [['groups', 'numbers'], ['keys', 'numbers'], ['states', 'numbers']],
   want: [['keys', 'numbers']],
-  'watch-beat': [['tables', 'list'], ['relay', 'object?']],
-  rows: [['table', 'string'], ['from', 'number'], ['to', 'number'], ['ageMs', 'number'], ['rows', 'list'], ['relay', 'object?']],
+  'watch-beat': [['tables', 'tables'], ['relay', 'relay?']],
+  rows: [['table', 'table'], ['from', 'number'], ['to', 'number'], ['ageMs', 'number'], ['rows', 'rows'], ['relay', 'relay?']],
   place: [
-    ['ask', 'number'], ['label', 'string'], ['service', 'string'], ['cell', 'string'], ['route', 'string'], ['purpose', 'string'],
+    ['ask', 'number'], ['label', 'string'], ['service', 'string'], ['cell', 'string'], ['route', 'string'], ['purpose', 'purpose'],
     ['priority', 'number'],
     ['targetMs', 'number'], ['targetLeftMs', 'number'], ['leftMs', 'number'], ['waitMs', 'number'], ['avoid', 'strings'],
     ['bodyBytes', 'number?']
   ],
-  granted: [['ask', 'number'], ['server', 'server'], ['expectedMs', 'number'], ['basis', 'object?']],
+  granted: [['ask', 'number'], ['server', 'server'], ['expectedMs', 'number'], ['basis', 'basis?']],
   queued: [['asks', 'numbers']],
-  refused: [['ask', 'number'], ['reason', 'string'], ['retryAfterMs', 'number'], ['elsewhere', 'string?']],
+  refused: [['ask', 'number'], ['reason', 'refusal'], ['retryAfterMs', 'number'], ['elsewhere', 'string?']],
   'cell-load': [['service', 'string'], ['cell', 'string'], ['pressure', 'number'], ['servers', 'number']],
-  report: [['ask', 'number'], ['cell', 'string'], ['route', 'string'], ['server', 'string'], ['report', 'object']],
+  report: [['ask', 'number'], ['cell', 'string'], ['route', 'string'], ['server', 'string'], ['report', 'report']],
   withdraw: [['asks', 'numbers']],
   waiting: [['asks', 'numbers']],
   unknown: [['asks', 'numbers']],
@@ -109,19 +110,15 @@
 
 /** Returns the value of a field, or undefined if it is absent or has the wrong type. */
 function decodeField (value: unknown, type: FieldType): unknown {
-  switch (type) {
-    case 'number':
-    case 'number?': return typeof value === 'number' && Number.isFinite(value) ? value : undefined
-    case 'string':
-    case 'string?': return typeof value === 'string' ? value : undefined
-    case 'list': return Array.isArray(value) ? value : undefined
-    case 'numbers':
-    case 'numbers?': return areNumbers(value) ? value : undefined
+  const required = type.replace('?', '') as RequiredFieldType
+  switch (required) {
+    case 'number': return typeof value === 'number' && Number.isFinite(value) ? value : undefined
+    case 'string': return typeof value === 'string' ? value : undefined
+    case 'numbers': return areNumbers(value) ? value : undefined
     case 'strings': return areStrings(value) ? value : undefined
-    case 'object':
-    case 'object?': return typeof value === 'object' && value !== null && !Array.isArray(value) ? value : undefined
     case 'news': return Array.isArray(value) ? decodeAll(value, decodeUpdate) : undefined
     case 'server': return decodeServer(value)
+    default: return FIELD_SCHEMAS[required].safeParse(value).data
   }
 }
 
--- a/packages/entry/src/peers/peerRouter.ts
+++ b/packages/entry/src/peers/peerRouter.ts
@@ -2,6 +2,7 @@
 import { initTRPC } from '@trpc/server'
 import * as z from 'zod'
 import type { PeerState, PeerStateQuery } from '@gooseberryspan/core'
+import { rowSchema, tableSchema } from './fieldSchemas.js'
 
 /** The part of an entry that the interface needs. */
 export interface PeerStateSource {
@@ -11,12 +12,11 @@
 const querySchema = z.object({
   versions: z.object({ declarations: z.number().optional(), servers: z.number().optional() })
 })
-const rowSchema = z.object({ key: z.string(), version: z.number(), value: z.string().optional() })
 
 /** Schema of the state that another entry returns; also used to validate it. */
 export const peerStateSchema = z.object({
   tables: z.array(z.object({
-    table: z.enum(['declarations', 'servers']),
+    table: tableSchema,
     from: z.number().optional(),
     version: z.number(),
     ageMs: z.number(),
--- a/packages/entry/src/runtime/httpListener.ts
+++ b/packages/entry/src/runtime/httpListener.ts
@@ -1,5 +1,4 @@
 /** A Node HTTP server that can shut down gracefully. */
-import { once } from 'node:events'
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { afterPendingInput } from '../pendingInput.js'
@@ -18,7 +17,7 @@
   port: number
   /** Called with the error code and the caller's address when a request could not be read in time or parsed, and was rejected. */
   onRejected?: (code: string, caller: string) => void
-  /** Called when a request is dropped because it was read after its connection had been rejected. */
+  /** Called when a request is dropped because it was read after its connection had been rejected or announced to close. */
   onDropped?: (caller: string) => void
   /** Called when the request handler threw; the request's connection is closed. */
   onError?: (error: unknown) => void
@@ -30,8 +29,8 @@
   requestsRead: number
   /** Number of requests that have been read and not answered. */
   unanswered: number
-  /** Whether a rejection was sent. It promises the caller that nothing read later on this connection runs. */
-  rejected: boolean
+  /** A rejection or the announcement of the close was sent. The caller may send elsewhere what is read later, so it must not run. */
+  closing: boolean
   /** The request that was read last. */
   lastRequest?: IncomingMessage
 }
@@ -64,7 +63,7 @@
     }, (request, response) => {
       const { socket } = request
       const connection = this._stateOf(socket)
-      if (connection.rejected) return this._options.onDropped?.(callerOf(socket))
+      if (connection.closing) return this._options.onDropped?.(callerOf(socket))
       this._trackResponse(request, response, connection)
       try {
         listener(request, response)
@@ -111,13 +110,16 @@
   closeAfter (request: IncomingMessage): boolean {
     const connection = this._stateOf(request.socket)
     if (connection.lastRequest !== request) return false
-    connection.rejected = true
+    connection.closing = true
     return true
   }
 
   /** Resolves when callers have taken all responses to the requests that have been read. */
   async answered (): Promise<void> {
-    while (this._openResponses.size > 0) await Promise.all([...this._openResponses].map((response) => once(response, 'close')))
+    while (this._openResponses.size > 0) {
+      const [response] = this._openResponses
+      await new Promise((resolve) => response!.once('close', resolve))
+    }
   }
 
   /** Closes all remaining connections immediately. */
@@ -144,7 +146,7 @@
   private _stateOf (socket: Socket): ConnectionState {
     let connection = this._connections.get(socket)
     if (!connection) {
-      connection = { requestsRead: 0, unanswered: 0, rejected: false }
+      connection = { requestsRead: 0, unanswered: 0, closing: false }
       this._connections.set(socket, connection)
     }
     return connection
@@ -167,7 +169,7 @@
   private _reject (code: string, socket: Socket): void {
     const connection = this._stateOf(socket)
     this._options.onRejected?.(code, callerOf(socket))
-    connection.rejected = true
+    connection.closing = true
     if (!socket.writable || code === 'ECONNRESET' || connection.unanswered > 0) return void socket.destroy()
     socket.end(`HTTP/1.1 ${ERROR_STATUS_LINES[code] ?? '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
     const timer = setTimeout(() => socket.destroy(), REJECTED_LINGER_MS)
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -86,7 +86,7 @@
   const callerAddress = parseHostPort(settings.callers.address)
   const onRejected = (reason: string, caller: string): void => log.info({ decision: 'malformed-request', reason, caller })
   const onError = (error: unknown): void => log.error({ err: error }, 'request failed with an internal error')
-  const onDropped = (caller: string): void => log.info({ decision: 'request-dropped', reason: 'connection-rejected', caller })
+  const onDropped = (caller: string): void => log.info({ decision: 'request-dropped', reason: 'connection-closing', caller })
   const callerServer = new HttpListener((request, response) => {
     const isDirectoryRequest = settings.directory.address === undefined && components.directory!.serves(request.url ?? '/')
     const { listener } = isDirectoryRequest ? components.directory! : components.callers!
--- a/packages/standins/src/backend/standInBackend.ts
+++ b/packages/standins/src/backend/standInBackend.ts
@@ -51,6 +51,8 @@
   | 'unframed-reset-at-once'
   /** The server sends text that is not HTTP. */
   | 'garbage'
+  /** One byte of the answer is replaced, as `damage` says. */
+  | 'damaged'
   /** A header's name has a space in it, or the status is below 100. */
   | 'malformed-header'
   | 'malformed-status'
@@ -78,6 +80,7 @@
   /** Number of filler bytes that are added to each answer. */
   fillerBytes: number
   answerFault?: AnswerFault
+  damage?: { at: number, byte: number }
   /** Number of bytes of a cut answer, including its head; all of it if absent. */
   cutAtByte?: number
   /** The health check reports the opposite of the server's health. */
@@ -313,6 +316,12 @@
       }
       case 'cut-reset':
         return void socket.write(rawAnswer(response, '200 OK', text).slice(0, this.faults.cutAtByte), () => socket.resetAndDestroy())
+      case 'damaged': {
+        const answer = Buffer.from(rawAnswer(response, '200 OK', text))
+        const { at, byte } = this.faults.damage!
+        answer[Math.min(at, answer.length - 1)] = byte
+        return void socket.write(answer)
+      }
       case 'malformed-header': return void socket.write(rawAnswer(response, '200 OK', text, 'content type: text/plain'))
       case 'malformed-status': return void socket.write(rawAnswer(response, '099 Unknown', text))
       case 'garbage': return void socket.end('this is no answer\r\n\r\n')
