--- a/utils/mutations.mjs
+++ b/utils/mutations.mjs
@@ -63,6 +63,22 @@
     'should not keep an order open for ever'],
   ['lapsed-registration', 'discovery/catalog.js', "if (change.unreadable || listed.entry.state === 'draining' || now >= returnBy)", 'if (true)', [],
     'should keep servers whose registrations lapsed'],
+  ['fuzzed-rows', 'discovery/registeredServer.js', 'return schema.safeParse(value).data;', 'return value;', [],
+    'should name a server in range or none'],
+  ['fuzzed-load', '../../../platform/dist/dialect.js', 'if (!parts)', 'if (!parts) return { running: NaN, waiting: 0, slots: 0, pace: 0 };\n        if (false)', [],
+    'should read a load or none'],
+  ['fuzzed-settings', '../../entry/dist/settings.js', 'throw new InvalidSettings', 'throw new Error', [], 'should accept settings or name the fault'],
+  ['fuzzed-datagrams', '../../entry/dist/peers/datagramCodec.js', 'return FIELD_SCHEMAS[required].safeParse(value).data;', 'return value;', [],
+    'should decode a message whose fields have their types'],
+  ['fuzzed-caller', '../../entry/dist/caller/resolve.js', 'if (fault !== undefined)', 'if (false)', [
+    ['../../entry/dist/runtime/entryNode.js', 'this._endFailed(effect);', 'throw error;']
+  ], 'should answer the next request after a caller'],
+  ['fuzzed-directory', '../../entry/dist/directory/directoryListener.js', 'switch (path) {', 'new URL(request.url, "http://entry");\n        switch (path) {', [
+    ['../../entry/dist/runtime/httpListener.js', 'response.destroy();\n            }', 'throw error;\n            }']
+  ], 'question to the directory'],
+  ['fuzzed-server', '../../entry/dist/backend/backendClient.js', 'const fault = headFault(message);', 'const fault = undefined;', [
+    ['../../entry/dist/runtime/entryNode.js', 'this._endFailed(effect);', 'throw error;']
+  ], 'should pass on a whole answer or none'],
   ['stop-cuts-nothing', 'entryCore.js', 'this.requests.open > 0 || ', '']
 ]
 
