Split the scheduler and its host along what they decide

Change: the queue policy (who is late, unservable, excess), the choice among candidates, the policy of load readings and the delivery of decisions to the entries are classes of their own. Behaviour is as before.

--- /dev/null
+++ b/packages/core/src/placement/candidateSelector.ts
@@ -0,0 +1,75 @@
+/** Selects the server of a cell for a request, or decides that waiting for a busy server is better. */
+import { evaluateCandidate, expectedPace, type Candidate, type CandidateContext } from './candidates.js'
+import type { PlacementRequest } from './placementRequest.js'
+import { DEADLINE_MARGIN_MS, type QueuePolicy } from './queuePolicy.js'
+import type { WaitingRequest } from './requestQueue.js'
+import type { ServerRecord } from './serverRecord.js'
+import type { WorkEstimate } from './workEstimate.js'
+
+/** What the selector reads of the scheduler that uses it. */
+export interface CandidateSelectorOptions {
+  records: ReadonlyMap<string, ServerRecord>
+  work: WorkEstimate
+  policy: QueuePolicy
+  context: () => Omit<CandidateContext, 'work' | 'medianBlame'>
+}
+
+/** A request waits for a busy server only if a free server would cost more by this factor. */
+const MIN_WAIT_GAIN_FACTOR = 1.15
+
+/** Ranks the servers of one cell by the cost of sending a request to each. */
+export class CandidateSelector {
+  private readonly _options: CandidateSelectorOptions
+
+  constructor (options: CandidateSelectorOptions) {
+    this._options = options
+  }
+
+  /** The context for all candidates of one placement round. */
+  context (now: number): CandidateContext {
+    return { ...this._options.context(), work: this._options.work, medianBlame: this._medianBlame(now) }
+  }
+
+  /** Servers that can take the request now, the one with the lowest cost first. */
+  candidates (request: PlacementRequest, context: CandidateContext, now: number): Candidate[] {
+    const candidates: Candidate[] = []
+    for (const record of this._options.records.values()) {
+      if (record.reach === 'silent' || record.moved) continue
+      const candidate = evaluateCandidate(record, request, context, now)
+      if (candidate) candidates.push(candidate)
+    }
+    return candidates.sort((a, b) => a.costMs - b.costMs || a.record.lastUsedAt - b.record.lastUsedAt)
+  }
+
+  /** Picks the candidate for a request. Under overload, a late request only gets a server that is too slow for requests in time. */
+  pick ({ request, late }: WaitingRequest, candidates: readonly Candidate[], now: number): Candidate | undefined {
+    if (!late || !this._options.policy.isOverloaded(request, now)) return candidates[0]
+    const inTime = (responseMs: number): boolean => now + responseMs + DEADLINE_MARGIN_MS < request.deadlineAt
+    return candidates.find(({ responseMs }) => responseMs > request.targetMs && inTime(responseMs))
+  }
+
+  /** Whether waiting for a busy server gives a better response time than the best candidate. */
+  isWorthWaiting (waiting: WaitingRequest, best: Candidate, waitingAhead: number, now: number): boolean {
+    const { work } = this._options
+    const baseMs = work.baseMs(waiting.request.route, waiting.request.targetMs)
+    const costMs = best.costMs - best.transferMs
+    if (waiting.late || costMs <= baseMs * MIN_WAIT_GAIN_FACTOR) return false
+    const responseTimes: number[] = []
+    for (const record of this._options.records.values()) {
+      if (record.reach === 'silent' || record.outstanding.size === 0 || record.isCold(now)) continue
+      const pace = expectedPace(record, work.meanPace, now)
+      responseTimes.push(record.nextResponseMs(now) + work.durationMs(baseMs, pace))
+    }
+    responseTimes.sort((a, b) => a - b)
+    const responseAfterWaitMs = responseTimes[waitingAhead]
+    return responseAfterWaitMs !== undefined && responseAfterWaitMs * MIN_WAIT_GAIN_FACTOR < costMs &&
+      now + responseAfterWaitMs + DEADLINE_MARGIN_MS < waiting.request.deadlineAt
+  }
+
+  private _medianBlame (now: number): number {
+    const blames: number[] = []
+    for (const record of this._options.records.values()) if (record.reach === 'reached') blames.push(record.blame(now))
+    blames.sort((a, b) => a - b)
+    return blames[Math.floor((blames.length - 1) / 2)] ?? 0
+  }
+}
--- a/packages/core/src/placement/placementRequest.ts
+++ b/packages/core/src/placement/placementRequest.ts
@@ -102,3 +102,6 @@
   tookMs: number
   load?: LoadReport
 }
+
+/** The report for a grant that was not used. */
+export const UNUSED_REPORT: AttemptReport = { outcome: 'unused', tookMs: 0 }
--- a/packages/core/src/placement/schedulerHost.ts
+++ b/packages/core/src/placement/schedulerHost.ts
@@ -8,10 +8,12 @@
 import type { Roles } from '../members/roles.js'
 import type { Roster } from '../members/roster.js'
 import { draw, type Random } from '../random.js'
-import type { AttemptReport, Grant, PlacementRequest, Refusal } from './placementRequest.js'
+import { PlacementDecisions, requestIdOf, type LocalRequestListener, type RequestOrigin } from './placementDecisions.js'
+import { UNUSED_REPORT, type PlacementRequest, type Refusal } from './placementRequest.js'
 import type { Cells } from './cells.js'
 import { Overflow } from './overflow.js'
-import { FREQUENT_READINGS, Scheduler, REDUCED_READINGS } from './scheduler.js'
+import { FREQUENT_READINGS, REDUCED_READINGS } from './loadReadingPolicy.js'
+import { Scheduler } from './scheduler.js'
 import type { ServerHolds } from './serverHolds.js'
 import type { ProbeAnswer } from './serverRecord.js'
 
@@ -22,12 +24,6 @@
   cold: Omit<ColdTolerance, 'perSecond'>
 }
 
-/** Receives the decisions on this entry's own requests. */
-export interface LocalRequestListener {
-  granted (ask: number, grant: Omit<Grant, 'request'>, now: number): void
-  refused (ask: number, refusal: Omit<Refusal, 'request'>, now: number): void
-}
-
 /** What the host is built from. */
 export interface SchedulerHostOptions {
   cells: Cells
@@ -49,24 +45,10 @@
   loadSentAt: number
 }
 
-/** The entry that a request came from, and the state of the request. */
-interface RequestOrigin {
-  from: string
-  /** Identifies the process of the entry: a restarted process numbers its requests from the beginning. */
-  incarnation: number
-  ask: number
-  cell: string
-  at: number
-  acknowledged: boolean
-  grant?: Grant
-}
-
 /** Number of members, in the cell's order of schedulers, that may use SCHEDULER_SHARE_FRACTION of the limits. */
 const SHARING_SCHEDULER_COUNT = 2
 /** Three schedulers of one cell, which can exist while entries disagree on the members, still stay within the limits together. */
 const SCHEDULER_SHARE_FRACTION = 0.33
-/** A request that is still waiting is acknowledged after this time. */
-const ACKNOWLEDGE_DELAY_MS = 8
 /** A scheduler counts as active for this long after it received a request or the load of another cell. */
 const ACTIVE_PERIOD_MS = 2000
 /** A scheduler that is not used for this long is removed. */
@@ -80,17 +62,17 @@
 export class SchedulerHost {
   private readonly _options: SchedulerHostOptions
   private readonly _hosted = new Map<string, HostedScheduler>()
-  private readonly _origins = new Map<string, RequestOrigin>()
-  private _localRequests!: LocalRequestListener
+  private readonly _decisions: PlacementDecisions
   private _now = 0
 
   constructor (options: SchedulerHostOptions) {
     this._options = options
+    this._decisions = new PlacementDecisions(options)
   }
 
   /** Sets the listener after construction, since the host and the listener refer to each other. */
   connect (localRequests: LocalRequestListener): void {
-    this._localRequests = localRequests
+    this._decisions.connect(localRequests)
   }
 
   /** Schedulers by cell, for status reports. */
@@ -114,12 +96,10 @@
   place (from: Member, message: PlaceMessage, now: number): void {
     this._now = now
     const id = requestIdOf(from.instance, message.ask)
-    const known = this._origins.get(id)
-    if (known?.incarnation === from.incarnation) return this._resendDecision(from, known)
+    const known = this._decisions.origin(id)
+    if (known?.incarnation === from.incarnation) return this._decisions.resend(from, known, now)
     if (known) this._cancel(id, known, now)
-    const { instance, incarnation } = from
-    const { ask, cell } = message
-    this._origins.set(id, { from: instance, incarnation, ask, cell, at: now, acknowledged: false })
+    this._decisions.add(id, from, message, now)
     const hosted = this._getOrCreateHosted(message)
     const request = requestOf(id, from, message, now)
     const elsewhere = message.purpose === 'first' ? this._divert(hosted, now) : undefined
@@ -131,14 +111,14 @@
     this._now = now
     for (const ask of asks) {
       const id = requestIdOf(from, ask)
-      const origin = this._origins.get(id)
+      const origin = this._decisions.origin(id)
       if (origin) this._cancel(id, origin, now)
     }
   }
 
   /** Removes a request from the queue, or releases the server that it was granted. */
   private _cancel (id: string, { cell, grant }: RequestOrigin, now: number): void {
-    this._origins.delete(id)
+    this._decisions.remove(id)
     const scheduler = this._hosted.get(cell)?.scheduler
     scheduler?.withdraw(id)
     if (grant) scheduler?.report(id, grant.server.id, grant.request.route, UNUSED_REPORT, now)
@@ -147,20 +127,14 @@
   /** Processes the list of requests for which an entry still waits, and resends decisions that it may have missed. */
   receiveWaiting (from: Member, { asks }: WaitingMessage, now: number): void {
     this._now = now
-    const unknown: number[] = []
-    for (const ask of asks) {
-      const origin = this._origins.get(requestIdOf(from.instance, ask))
-      if (origin) this._resendDecision(from, origin)
-      else unknown.push(ask)
-    }
-    if (unknown.length > 0) this._options.outbox.send(from, { kind: 'unknown', asks: unknown })
+    this._decisions.resendAll(from, asks, now)
   }
 
   /** Processes the report on an attempt. */
   report (from: string, { ask, cell, route, server, report }: Omit<ReportMessage, 'kind'>, now: number): void {
     this._now = now
     const id = requestIdOf(from, ask)
-    this._origins.delete(id)
+    this._decisions.remove(id)
     const hosted = this._hosted.get(cell)
     if (!hosted) return
     const previousReach = hosted.scheduler.records.get(server)?.reach
@@ -197,7 +171,7 @@
       if (now - hosted.loadSentAt >= CELL_LOAD_INTERVAL_MS) this._sendCellLoad(cell, hosted, now)
       if (now - hosted.lastUsedAt > IDLE_TIMEOUT_MS && hosted.scheduler.waiting === 0) this._hosted.delete(cell)
     }
-    this._acknowledge(now)
+    this._decisions.tick(now)
   }
 
   private _getOrCreateHosted ({ service, cell }: Pick<PlaceMessage, 'service' | 'cell'>): HostedScheduler {
@@ -225,7 +199,7 @@
       mayProbe: (server, now) => !this._options.holds.isHeld(server, now),
       loadReadingPolicy: () => this._options.roster.isLarge ? REDUCED_READINGS : FREQUENT_READINGS,
       listener: {
-        granted: (grant) => this._granted(grant),
+        granted: (grant) => this._decisions.granted(grant, this._now),
         refused: (refusal) => this._refused(refusal),
         probe: (server) => this._options.outbox.put({ kind: 'probe', server })
       }
@@ -278,37 +252,9 @@
     }
   }
 
-  private _granted (grant: Grant): void {
-    const origin = this._origins.get(grant.request.id)
-    if (!origin) return
-    origin.grant = grant
-    const { server, request, expectedMs, basis } = grant
-    this._options.outbox.log({
-      decision: 'granted',
-      request: request.label,
-      service: request.service,
-      server: server.id,
-      instance: origin.from,
-      purpose: request.purpose,
-      expectedMs: Math.round(expectedMs),
-      readingAgeMs: basis?.ageMs,
-      running: basis?.running,
-      waiting: basis?.waiting,
-      pace: basis?.pace,
-      tookMs: Math.round(this._now - origin.at)
-    })
-    this._sendGrant(origin)
-  }
-
   private _refused (refusal: Refusal): void {
-    const { request } = refusal
-    const origin = this._origins.get(request.id)
-    if (!origin) return
-    this._origins.delete(request.id)
-    if (origin.from === this._options.roster.self.instance) {
-      return this._localRequests.refused(origin.ask, this._withFallbackCell(refusal), this._now)
-    }
-    this._sendRefusal(origin, request, this._withFallbackCell(refusal))
+    if (!this._decisions.origin(refusal.request.id)) return
+    this._decisions.refused(refusal.request, this._withFallbackCell(refusal), this._now)
   }
 
   /** Adds another cell to the refusal of a first attempt for lack of capacity, so that the entry sends the request there, once. */
@@ -322,49 +268,7 @@
   /** Any other cell with usable servers, even if its load is unknown. */
   private _anyOtherCell ({ service, cell }: PlacementRequest): string | undefined {
     const { cells, random } = this._options
-    const others = cells.of(service).filter(({ name, usable }) => name !== cell && usable.length > 0)
-    return draw(others, random)?.name
-  }
-
-  private _sendRefusal (origin: RequestOrigin, request: PlacementRequest, refusal: Omit<Refusal, 'request'>): void {
-    const { reason, retryAfterMs, elsewhere } = refusal
-    const { outbox, roster } = this._options
-    const to = roster.get(origin.from)
-    outbox.log(
-      { decision: 'refused', request: request.label, service: request.service, instance: origin.from, purpose: request.purpose, reason }
-    )
-    if (to) outbox.send(to, { kind: 'refused', ask: origin.ask, reason, retryAfterMs: Math.round(retryAfterMs), elsewhere })
-  }
-
-  private _sendGrant ({ from, ask, grant }: RequestOrigin): void {
-    const { outbox, roster } = this._options
-    const { server, expectedMs, basis } = grant!
-    if (from === roster.self.instance) return this._localRequests.granted(ask, { server, expectedMs, basis }, this._now)
-    const to = roster.get(from)
-    if (to) outbox.send(to, { kind: 'granted', ask, server, expectedMs: Math.round(expectedMs), basis })
-  }
-
-  private _resendDecision (from: Member, origin: RequestOrigin): void {
-    if (origin.grant) return this._sendGrant(origin)
-    this._options.outbox.send(from, { kind: 'queued', asks: [origin.ask] })
-  }
-
-  /** Acknowledges waiting requests to their entries, and removes granted requests whose deadline has passed. */
-  private _acknowledge (now: number): void {
-    const waiting = new Map<string, number[]>()
-    for (const [id, origin] of this._origins) {
-      const expired = origin.grant && now > origin.grant.request.deadlineAt
-      if (expired) this._origins.delete(id)
-      if (expired || origin.grant || origin.acknowledged || now - origin.at < ACKNOWLEDGE_DELAY_MS) continue
-      origin.acknowledged = true
-      const asks = waiting.get(origin.from)
-      if (asks) asks.push(origin.ask)
-      else waiting.set(origin.from, [origin.ask])
-    }
-    for (const [from, asks] of waiting) {
-      const to = from === this._options.roster.self.instance ? undefined : this._options.roster.get(from)
-      if (to) this._options.outbox.send(to, { kind: 'queued', asks })
-    }
+    return draw(cells.of(service).filter(({ name, usable }) => name !== cell && usable.length > 0), random)?.name
   }
 
   private _logReachabilityChange ({ service, scheduler }: HostedScheduler, server: string, previousReach: string | undefined): void {
@@ -375,13 +279,6 @@
   }
 }
 
-/** The report for a grant that was not used. */
-export const UNUSED_REPORT: AttemptReport = { outcome: 'unused', tookMs: 0 }
-
-function requestIdOf (instance: string, ask: number): string {
-  return `${instance}/${ask}`
-}
-
 function requestOf (id: string, from: Member, message: PlaceMessage, now: number): PlacementRequest {
   const { label, service, cell, route, purpose, priority, targetMs, targetLeftMs, leftMs, waitMs, avoid, bodyBytes = 0 } = message
   return {
--- a/packages/core/src/requests/requestHandler.ts
+++ b/packages/core/src/requests/requestHandler.ts
@@ -5,8 +5,11 @@
 import type { Outbox, FailureReason } from '../effects.js'
 import type { Invariants } from '../invariants.js'
 import type { Roster } from '../members/roster.js'
-import type { AttemptReport, Grant, Purpose, Refusal, RefusalReason } from '../placement/placementRequest.js'
-import { UNUSED_REPORT, type LocalRequestListener, type SchedulerHost } from '../placement/schedulerHost.js'
+import {
+  UNUSED_REPORT, type AttemptReport, type Grant, type Purpose, type Refusal, type RefusalReason
+} from '../placement/placementRequest.js'
+import type { LocalRequestListener } from '../placement/placementDecisions.js'
+import type { SchedulerHost } from '../placement/schedulerHost.js'
 import type { ServerHolds } from '../placement/serverHolds.js'
 import type { CellSelector } from './cellSelector.js'
 import { newRequest, type SchedulerRequest, type Attempt, type OpenRequest, type RequestSpec } from './request.js'
