Limit the connections of each port, so that callers leave descriptors for everything else

Callers and operators saw: while callers held as many connections as the process has descriptors, all ports closed each new connection: readiness and metrics too, so the entry counted as not ready, and connections to servers and the store failed. The process did not end: libuv of Node 20.19 reports no error of accept. If the system still refuses descriptors, it spins at a full core instead. Cause: no port had a limit of its own; the first to come took all descriptors. At its limit a port closes the connection that has been idle longest, or refuses the new one. Versions of Node that report an error of accept get a handler.

--- a/packages/entry/src/reports/prometheusMetrics.ts
+++ b/packages/entry/src/reports/prometheusMetrics.ts
@@ -13,6 +13,8 @@
   droppedLogLines: () => number
   storeRequests: () => number
   peerMessages: () => number
+  callerConnections: () => number
+  connectionsClosed: () => number
 }
 
 const REQUEST_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8]
@@ -52,6 +54,8 @@
     this._addGauge('log_lines_dropped', 'Log lines dropped since start, for want of a reader.', source.droppedLogLines)
     this._addGauge('store_requests', 'Requests to the store since start.', source.storeRequests)
     this._addGauge('peer_messages', 'Messages to other entries since start.', source.peerMessages)
+    this._addGauge('caller_connections', 'Open connections of callers.', source.callerConnections)
+    this._addGauge('connections_closed', 'Connections closed or refused since start to save descriptors.', source.connectionsClosed)
     this._addGauge('resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
   }
 
--- a/packages/entry/src/runtime/httpListener.ts
+++ b/packages/entry/src/runtime/httpListener.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { afterPendingInput } from '../pendingInput.js'
+import { ConnectionLimit, type ConnectionLoss } from './connectionLimit.js'
 
 /** Limits on how long a client can keep a connection waiting. */
 export interface ListenerTimeouts {
@@ -15,6 +16,10 @@
 export interface ListenerOptions extends ListenerTimeouts {
   host: string
   port: number
+  /** Most connections that callers may hold; above it, idle ones are closed and new ones refused. Unlimited if absent. */
+  maxConnections?: number
+  /** Called for each connection that was closed because of `maxConnections`, and when the system refused to accept one. */
+  onConnectionLost?: (loss: ConnectionLoss | 'accept-failed') => void
   /** Called with the error code and the caller's address when a request could not be read in time or parsed, and was rejected. */
   onRejected?: (code: string, caller: string) => void
   /** Called when a request is dropped because it was read after its connection had been rejected or announced to close. */
@@ -55,9 +60,13 @@
   private readonly _connections = new WeakMap<Socket, ConnectionState>()
   /** Responses that callers have not taken yet. */
   private readonly _openResponses = new Set<ServerResponse>()
+  private readonly _limit: ConnectionLimit<Socket>
 
   constructor (listener: RequestListener, options: ListenerOptions) {
     this._options = options
+    this._limit = new ConnectionLimit({
+      maxConnections: options.maxConnections ?? Infinity, onClosed: (loss) => options.onConnectionLost?.(loss)
+    })
     this._server = createServer({
       maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS
     }, (request, response) => {
@@ -72,6 +81,8 @@
         response.destroy()
       }
     })
+    this._server.on('connection', (socket) => this._admit(socket))
+    this._server.on('error', () => this._handleAcceptError())
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => this._handleError(error, socket as Socket))
     this._server.on('timeout', (socket) => this._closeIdle(socket))
     this.setTimeouts(options)
@@ -83,6 +94,11 @@
     this._server.keepAliveTimeout = idleMs
   }
 
+  /** Number of open connections. */
+  get connections (): number {
+    return this._limit.size
+  }
+
   /** Starts listening unless the server already listens. Resolves with the port, which the system chooses if the configured port is 0. */
   listen (): Promise<number> {
     if (this._server.listening) return Promise.resolve(this._port())
@@ -131,14 +147,28 @@
     return (this._server.address() as AddressInfo).port
   }
 
+  private _admit (socket: Socket): void {
+    if (!this._limit.add(socket)) return
+    socket.once('close', () => this._limit.remove(socket))
+  }
+
+  /** Some versions of Node report here that a connection could not be accepted, for example for want of a descriptor. */
+  private _handleAcceptError (): void {
+    if (!this._server.listening) return
+    this._options.onConnectionLost?.('accept-failed')
+    this._limit.closeIdle()
+  }
+
   private _trackResponse (request: IncomingMessage, response: ServerResponse, connection: ConnectionState): void {
     connection.requestsRead += 1
     connection.unanswered += 1
     connection.lastRequest = request
+    this._limit.markBusy(request.socket)
     this._openResponses.add(response)
     response.once('close', () => this._openResponses.delete(response))
     response.once('finish', () => {
       connection.unanswered -= 1
+      if (connection.unanswered === 0) this._limit.markIdle(request.socket)
       if (!request.complete) discardBody(request)
     })
   }
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -18,6 +18,11 @@
     share: optional(z.number().positive().max(1024).default(1)).describe('Part of a core that this instance may use, or several cores.'),
     of: optional(z.number().positive().max(1024).default(1)).describe('How fast that core is, against an ordinary one.')
   }).prefault({}),
+  limits: z.strictObject({
+    descriptors: optional(z.int().min(1).optional()).describe(
+      'Descriptors that this instance may open, if fewer than the system allows its processes.'
+    )
+  }).prefault({}),
   callers: z.strictObject({
     address: addressSchema.default('127.0.0.1:8080').describe('IP number and port for callers.'),
     holdBytes: z.int().min(0).default(1_048_576).describe('Bodies up to this size are held, larger ones are streamed, in bytes.')
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -16,12 +16,14 @@
 import { DirectoryListener } from './directory/directoryListener.js'
 import { operatorListener } from './operators/operatorListener.js'
 import { DefaultDialect } from './defaultDialect.js'
+import { LossReport } from './reports/lossReport.js'
 import { DatagramPort } from './peers/datagramPort.js'
 import { PeerClient } from './peers/peerClient.js'
 import { peerListener } from './peers/peerServer.js'
 import { EntryNode, type DecisionObserver } from './runtime/entryNode.js'
+import { DescriptorBudget, readDescriptorLimit, type ListenerPort } from './runtime/descriptorBudget.js'
 import { EventRecorder } from './runtime/eventRecorder.js'
-import { HttpListener } from './runtime/httpListener.js'
+import { HttpListener, type ListenerOptions } from './runtime/httpListener.js'
 import { listenerProcess, Ticker } from './runtime/processes.js'
 import { parseHostPort, type Settings } from './settings.js'
 import { StoreExecutor } from './store/storeExecutor.js'
@@ -74,6 +76,21 @@
 /** Slightly longer than the two seconds within which lapsed registrations are renewed after the store is reachable again. */
 const REGISTRATION_LAPSE_MS = 2300
 
+const CONNECTION_LOST = 'connection-closed'
+
+/** Options that limit the connections of one port. */
+type ConnectionLimits = Pick<ListenerOptions, 'maxConnections' | 'onConnectionLost'>
+
+/** What the reporters read. */
+interface ReportSources {
+  node: EntryNode
+  client: HttpClient
+  datagrams: DatagramPort
+  callerServer: HttpListener
+  losses: LossReport
+  limits: ConnectionLimits
+}
+
 /** Builds and starts an entry. It listens before the core is built, so that the core reports the ports that the system chose. */
 export async function startEntry (options: EntryProcessOptions): Promise<EntryProcess> {
   const { settings, log } = options
@@ -84,6 +101,8 @@
   const components: { node?: EntryNode, callers?: CallerListener, directory?: DirectoryListener } = {}
 
   const callerAddress = parseHostPort(settings.callers.address)
+  const losses = new LossReport({ log, now })
+  const limits = connectionLimits(settings, losses)
   const onRejected = (reason: string, caller: string): void => log.info({ decision: 'malformed-request', reason, caller })
   const onError = (error: unknown): void => log.error({ err: error }, 'request failed with an internal error')
   const onDropped = (caller: string): void => log.info({ decision: 'request-dropped', reason: 'connection-closing', caller })
@@ -91,11 +110,11 @@
     const isDirectoryRequest = settings.directory.address === undefined && components.directory!.serves(request.url ?? '/')
     const { listener } = isDirectoryRequest ? components.directory! : components.callers!
     listener(request, response)
-  }, { ...callerAddress, ...DEFAULT_TIMEOUTS, onRejected, onDropped, onError })
+  }, { ...callerAddress, ...DEFAULT_TIMEOUTS, ...limits('callers'), onRejected, onDropped, onError })
   const peerAddress = parseHostPort(settings.peers.address)
   const { token } = settings.peers
   const peerServer = new HttpListener(peerListener({ token, source: { stateFor: (query) => components.node!.stateFor(query) } }), {
-    ...peerAddress, headerMs: PEER_PORT_TIMEOUT_MS, idleMs: PEER_PORT_TIMEOUT_MS
+    ...peerAddress, ...limits('peers'), headerMs: PEER_PORT_TIMEOUT_MS, idleMs: PEER_PORT_TIMEOUT_MS
   })
   const callers = await callerServer.listen()
   const peers = await peerServer.listen()
@@ -168,21 +187,22 @@
   const ports: EntryProcess['ports'] = { callers, peers }
   const portProcesses = [listenerProcess('caller-port', callerServer), listenerProcess('peer-port', peerServer)]
   for (const [name, address] of [
-    ['directory-port', settings.directory.address], ['ready-port', settings.directory.readyAddress]
+    ['directory', settings.directory.address], ['ready', settings.directory.readyAddress]
   ] as const) {
     if (address === undefined) continue
     const port = new HttpListener(
-      (request, response) => components.directory!.listener(request, response), { ...parseHostPort(address), ...DEFAULT_TIMEOUTS, onError }
+      (request, response) => components.directory!.listener(request, response),
+      { ...parseHostPort(address), ...DEFAULT_TIMEOUTS, ...limits(name), onError }
     )
     await port.listen()
-    portProcesses.push(listenerProcess(name, port))
+    portProcesses.push(listenerProcess(`${name}-port`, port))
   }
-  const operatorServer = createOperatorPort(options, node, store)
+  const operatorServer = createOperatorPort(options, node, store, limits('operators'))
   if (operatorServer) {
     ports.operators = await operatorServer.listen()
     portProcesses.push(listenerProcess('operator-port', operatorServer))
   }
-  const reports = await createReporters(options, node, client, datagrams)
+  const reports = await createReporters(options, { node, client, datagrams, callerServer, losses, limits: limits('metrics') })
   decisionObservers.push(...reports.decisionObservers)
   if (reports.port) {
     ports.metrics = await reports.port.listen()
@@ -234,6 +254,15 @@
   }
 }
 
+/** Limits the connections of each port, so that callers leave enough descriptors for everything else. */
+function connectionLimits ({ limits }: Settings, losses: LossReport): (port: ListenerPort) => ConnectionLimits {
+  const descriptors = new DescriptorBudget(readDescriptorLimit(limits.descriptors))
+  return (port) => ({
+    maxConnections: descriptors.connectionsOf(port),
+    onConnectionLost: (loss) => losses.record(CONNECTION_LOST, `${port}: ${loss}`)
+  })
+}
+
 function defaultFormats (settings: Settings): PlatformFormats {
   return {
     dialect: new DefaultDialect(settings.backends.headerPrefix), protocol: new DefaultStoreProtocol(), reader: new DefaultRowReader()
@@ -281,16 +310,19 @@
   }
 }
 
-function createOperatorPort ({ settings }: EntryProcessOptions, node: EntryNode, store: Store): HttpListener | undefined {
+function createOperatorPort (
+  { settings }: EntryProcessOptions, node: EntryNode, store: Store, limits: ConnectionLimits
+): HttpListener | undefined {
   const { token, address } = settings.operators
   if (token === undefined) return undefined
   const newId = (): string => randomBytes(12).toString('hex')
   const listener = operatorListener({ token, store: new ConfigurationStore(store), status: () => node.status(), newId })
-  return new HttpListener(listener, { ...parseHostPort(address), ...DEFAULT_TIMEOUTS })
+  return new HttpListener(listener, { ...parseHostPort(address), ...DEFAULT_TIMEOUTS, ...limits })
 }
 
 /** Creates the reporters that the settings enable. Loads a reporter's library only if it is enabled. */
-async function createReporters (options: EntryProcessOptions, node: EntryNode, client: HttpClient, datagrams: DatagramPort) {
+async function createReporters (options: EntryProcessOptions, sources: ReportSources) {
+  const { node, client, datagrams, callerServer, losses, limits } = sources
   const { metrics, instance } = options.settings
   const decisionObservers: DecisionObserver[] = []
   const children: Child[] = []
@@ -308,10 +340,12 @@
       revision: () => node.core.declarations.revision,
       droppedLogLines: options.droppedLogLines ?? (() => 0),
       storeRequests: () => client.requests,
-      peerMessages: () => datagrams.messages
+      peerMessages: () => datagrams.messages,
+      callerConnections: () => callerServer.connections,
+      connectionsClosed: () => losses.totalOf(CONNECTION_LOST)
     })
     decisionObservers.push(prometheusMetrics)
-    port = new HttpListener(metricsListener(prometheusMetrics), { ...parseHostPort(metrics.address), ...DEFAULT_TIMEOUTS })
+    port = new HttpListener(metricsListener(prometheusMetrics), { ...parseHostPort(metrics.address), ...DEFAULT_TIMEOUTS, ...limits })
   }
   if (metrics.statsd) {
     const [{ StatsD }, { StatsdReporter }] = await Promise.all([import('hot-shots'), import('./reports/statsdReporter.js')])
--- a/tests/reference.spec.ts
+++ b/tests/reference.spec.ts
@@ -24,7 +24,9 @@
       revision: none,
       droppedLogLines: none,
       storeRequests: none,
-      peerMessages: none
+      peerMessages: none,
+      callerConnections: none,
+      connectionsClosed: none
     })
     const served = registry.getMetricsAsArray().map(({ name }) => name).sort()
     const named = [...new Set(read('docs/operators/metrics.md').match(/gooseberryspan_[a-z_]+/g))].sort()
