Write one log line that says why a process ends, without waiting for the log's reader

Operators saw entries end and had no log that says why. An exception that nobody handled left a bare stack on standard error, and up to 8 KB of buffered decision lines were lost with the process. Resident memory was no help either: nothing said how high it had been.

Worse, the log could keep an ending process from ending. SonicBoom's flushSync retries forever on errors other than EAGAIN (a full disk, a reader that goes away at the same moment), and on a pipe that nobody reads both the write and the thread that process.exit joins wait without limit. A start that fails ends the same way, so nothing would start it again.

Change: the sink opens a pipe or terminal once more in non-blocking mode, which leaves the descriptor shared with others as it is, drops what a write refuses, and takes at most 250 ms at the end. ProcessEnd writes the line `ended` with reason, code, stack, the last event, memory, peak memory, descriptors and uptime for each end that the process can notice, on standard error if standard output does not take it. Peak memory, heap, descriptors and uptime are metrics as well; they are read only when collected.

processEnd.spec: 6 of 7 fail on the code before (the seventh, an error while nobody reads, guards the new path); all pass now.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,7 +1,8 @@
 /** Command-line program of an entry: settings, log, signals and exit codes. */
 import { Command } from 'commander'
 import { pino } from 'pino'
-import { logSink } from './reports/logSink.js'
+import { ProcessEnd } from './reports/processEnd.js'
+import { LogSink } from './reports/logSink.js'
 import { readSettings, type Settings } from './settings.js'
 import { startEntry, type PlatformFormats } from './wiring.js'
 
@@ -45,34 +46,32 @@
 }
 
 async function run (settings: Settings, path: string, record: string | undefined, formats: PlatformFormats | undefined): Promise<void> {
-  const sink = logSink(settings.log.mostBytes)
-  const log = pino({ level: settings.log.level, base: { logger: settings.instance } }, sink.stream)
-  const end = (code: number): void => {
-    sink.end()
-    process.exit(code)
-  }
+  const sink = new LogSink({ maxBytes: settings.log.mostBytes })
+  const log = pino({ level: settings.log.level, base: { logger: settings.instance } }, sink)
+  const end = new ProcessEnd({ log, sink })
   process.on('SIGHUP', () => checkChangedSettings(settings, path, log))
-  const entry = await startEntry({ settings, log, record, formats, droppedLogLines: sink.dropped }).catch((error: unknown) => {
-    log.fatal({ err: error }, 'entry could not start')
-    return end(EXIT_FAILURE)
+  const entry = await startEntry({ settings, log, record, formats, droppedLogLines: () => sink.dropped }).catch((error: unknown) => {
+    end.exit(EXIT_FAILURE, 'entry could not start', error)
   })
   if (!entry) return
+  end.lastEvent = () => entry.node.lastEvent
   let stopping = false
   const stop = async (signal: string): Promise<void> => {
     log.info({ decision: 'signal', reason: signal })
     if (stopping) {
       log.error({ decision: 'stop-cut', open: entry.node.open })
-      return end(EXIT_FAILURE)
+      return end.exit(EXIT_FAILURE, 'second signal')
     }
     stopping = true
-    end(await entry.stop() ? 0 : EXIT_FAILURE)
+    const isComplete = await entry.stop()
+    end.exit(isComplete ? 0 : EXIT_FAILURE, isComplete ? 'stopped' : 'stopped at the end of the grace time')
   }
   process.on('SIGTERM', () => void stop('SIGTERM'))
   process.on('SIGINT', () => void stop('SIGINT'))
-  entry.ended.catch(async () => {
+  entry.ended.catch(async (error: unknown) => {
     stopping = true
     await entry.stop()
-    end(EXIT_FAILURE)
+    end.exit(EXIT_FAILURE, 'supervisor gave up', error)
   })
 }
 
--- a/packages/entry/src/reports/prometheusMetrics.ts
+++ b/packages/entry/src/reports/prometheusMetrics.ts
@@ -1,6 +1,7 @@
 /** Prometheus metrics of an entry: decision counts, request durations and gauges. */
 import type { DecisionLine } from '@gooseberryspan/core'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { countDescriptors } from './processState.js'
 import type { DecisionObserver } from '../runtime/entryNode.js'
 
 /** Functions that return the current gauge values; called when metrics are collected. */
@@ -17,6 +18,7 @@
 
 const REQUEST_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8]
 const PLACEMENT_BUCKETS_SECONDS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1]
+const BYTES_PER_KILOBYTE = 1024
 
 /** The metrics of one process. */
 export class PrometheusMetrics implements DecisionObserver {
@@ -53,6 +55,10 @@
     this._addGauge('store_requests', 'Requests to the store since start.', source.storeRequests)
     this._addGauge('peer_messages', 'Messages to other entries since start.', source.peerMessages)
     this._addGauge('resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
+    this._addGauge('peak_resident_bytes', 'Highest resident memory since start.', () => process.resourceUsage().maxRSS * BYTES_PER_KILOBYTE)
+    this._addGauge('heap_bytes', 'Heap in use.', () => process.memoryUsage().heapUsed)
+    this._addGauge('open_descriptors', 'Open descriptors.', () => countDescriptors() ?? NaN)
+    this._addGauge('uptime_seconds', 'Time since the process started.', () => process.uptime())
   }
 
   onDecision (line: DecisionLine): void {
--- a/packages/entry/src/runtime/entryNode.ts
+++ b/packages/entry/src/runtime/entryNode.ts
@@ -65,6 +65,7 @@
   private _handlers!: EffectHandlers
   private _handling = false
   private _lastRequestId = 0
+  private _lastEvent: Event['kind'] | undefined
 
   constructor (options: NodeOptions) {
     this._options = options
@@ -102,6 +103,11 @@
     return this._exchanges.size
   }
 
+  /** Kind of the event that the core received last. */
+  get lastEvent (): Event['kind'] | undefined {
+    return this._lastEvent
+  }
+
   status (): Status {
     return statusOf(this.core, this.now, this._handlers.control(), this.open)
   }
@@ -155,6 +161,7 @@
 
   private _handleOne (event: Event): void {
     const now = this.now
+    this._lastEvent = event.kind
     this._options.recorder?.record(event, now)
     for (const effect of this.core.handle(event, now)) this._perform(effect)
   }
--- /dev/null
+++ b/tests/processEnd.spec.ts
@@ -0,0 +1,103 @@
+/** What a process that ends leaves in its log, and whether its log can keep it from ending. */
+import { execFileSync } from 'node:child_process'
+import { closeSync, constants, mkdtempSync, openSync, rmSync, writeSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { expect } from 'chai'
+import { SeededRandom } from '@gooseberryspan/core'
+import { StoreServer } from '@gooseberryspan/standins'
+import { HOST, send } from './fixtures/deployment.js'
+import { EntryProgram, type EntryProgramOptions } from './fixtures/entryProgram.js'
+
+/** Grace time of the fixture's settings. */
+const GRACE_MS = 2000
+const START_MS = 1500
+const THROWS_LATER = 'setTimeout(() => { throw new Error("unforeseen") }, 1000)'
+const REJECTS_LATER = 'setTimeout(() => Promise.reject(new Error("unforeseen")), 1000)'
+
+describe('end of a process', () => {
+  const store = new StoreServer({ host: HOST, port: 0, random: new SeededRandom(1) })
+  const programs: EntryProgram[] = []
+  let url = ''
+
+  before(async () => { url = await store.start() })
+  after(() => store.stop())
+  afterEach(() => {
+    for (const program of programs.splice(0)) program.dispose()
+  })
+
+  function run (options: Partial<EntryProgramOptions> = {}): EntryProgram {
+    const program = new EntryProgram({ url, ...options })
+    programs.push(program)
+    return program
+  }
+
+  // Guards against an end that leaves a bare stack and loses the lines before it.
+  for (const [origin, preface] of [['uncaughtException', THROWS_LATER], ['unhandledRejection', REJECTS_LATER]] as const) {
+    it(`should say in its last log line that an error ended it, and keep the lines before (${origin})`, async () => {
+      const program = run({ preface })
+      expect(await program.ended).to.deep.equal({ code: 1, signal: null })
+      const lines = program.lines()
+      expect(lines.map(({ decision }) => decision)).to.include('started')
+      const last = lines.at(-1)!
+      expect(last).to.include({ decision: 'ended', reason: `unexpected error: ${origin}`, code: 1, lastEvent: 'tick' })
+      expect((last.err as Error).stack).to.contain('unforeseen')
+      expect(last.peakResidentBytes).to.be.greaterThan(0)
+      expect(last.openDescriptors).to.be.greaterThan(0)
+    })
+  }
+
+  it('should say in its last log line that it stopped', async () => {
+    const program = run()
+    await program.started()
+    program.process.kill('SIGTERM')
+    expect(await program.ended).to.deep.equal({ code: 0, signal: null })
+    expect(program.lines().at(-1)).to.include({ decision: 'ended', reason: 'stopped', code: 0 })
+  })
+
+  // Guards against a full disk behind the log that keeps a process from ending, so that nothing starts it again.
+  it('should report the end on standard error and end if its log cannot be written', async () => {
+    const full = openSync('/dev/full', 'w')
+    const program = run({ preface: THROWS_LATER, stdio: ['ignore', full, 'pipe'] })
+    closeSync(full)
+    expect(await program.endWithin(START_MS + GRACE_MS)).to.deep.equal({ code: 1, signal: null })
+    expect(program.lines(program.errors).at(-1)).to.include({ decision: 'ended', reason: 'unexpected error: uncaughtException' })
+  })
+
+  // Guards against a log that nobody reads keeping a process from ending.
+  for (const [name, preface, code] of [['a stop', '', 0], ['an error', THROWS_LATER, 1]] as const) {
+    it(`should end after ${name} while nobody reads its log`, async () => {
+      const folder = mkdtempSync(join(tmpdir(), 'unread-'))
+      execFileSync('mkfifo', [join(folder, 'log')])
+      const unread = openSync(join(folder, 'log'), constants.O_RDWR | constants.O_NONBLOCK)
+      fill(unread)
+      const inherited = openSync(join(folder, 'log'), constants.O_WRONLY)
+      const program = run({ preface, stdio: ['ignore', inherited, inherited] })
+      closeSync(inherited)
+      await new Promise((resolve) => setTimeout(resolve, START_MS))
+      if (code === 0) program.process.kill('SIGTERM')
+      const end = await program.endWithin(GRACE_MS)
+      closeSync(unread)
+      rmSync(folder, { recursive: true })
+      expect(end).to.deep.equal({ code, signal: null })
+    })
+  }
+
+  it('should report memory and descriptors as metrics', async () => {
+    const program = run()
+    const { metrics } = await program.started()
+    const { text } = await send(metrics!, 'GET', '/metrics')
+    for (const name of ['resident_bytes', 'peak_resident_bytes', 'heap_bytes', 'open_descriptors', 'uptime_seconds']) {
+      expect(Number(new RegExp(`^gooseberryspan_${name} (\\S+)$`, 'm').exec(text)?.[1]), name).to.be.greaterThan(0)
+    }
+  })
+})
+
+/** Writes to a pipe until it takes no more. */
+function fill (descriptor: number): void {
+  try {
+    for (;;) writeSync(descriptor, Buffer.alloc(4096, '\n'))
+  } catch (error) {
+    if ((error as NodeJS.ErrnoException).code !== 'EAGAIN') throw error
+  }
+}
