Ignore signals that ask for nothing instead of ending or opening a debugger

SIGUSR2 and SIGALRM ended a running entry at once (seen on real processes), and SIGUSR1 started Node's inspector in it: a thread, six more descriptors and port 9229, open to everyone on the machine. None of them is sent to stop an entry; SIGUSR1 and SIGUSR2 are what log rotation and service managers send. Cause: only SIGHUP had a handler. They are now ignored from the loader's first line, and logged once the entry has read its settings. SIGQUIT, SIGXCPU and SIGPWR still end the process: they are sent to end it. A signal within the first 30 ms or so, before Node runs any of our code, still does what the system does by default.

processEnd.spec: the new test fails on the code before (SIGUSR2 ends the process).

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -19,6 +19,8 @@
   record?: string
 }
 
+/** Signals that ask for nothing here, as log rotation may send them. By default they end the process, or start Node's inspector. */
+const IGNORED_SIGNALS: NodeJS.Signals[] = ['SIGUSR1', 'SIGUSR2', 'SIGALRM']
 const EXIT_FAILURE = 1
 const EXIT_INVALID_SETTINGS = 2
 
@@ -50,6 +52,7 @@
   const log = pino({ level: settings.log.level, base: { logger: settings.instance } }, sink)
   const end = new ProcessEnd({ log, sink })
   process.on('SIGHUP', () => checkChangedSettings(settings, path, log))
+  for (const signal of IGNORED_SIGNALS) process.on(signal, () => log.info({ decision: 'signal', reason: `${signal}: ignored` }))
   const entry = await startEntry({ settings, log, record, formats, droppedLogLines: () => sink.dropped }).catch((error: unknown) => {
     end.exit(EXIT_FAILURE, 'entry could not start', error)
   })
--- a/tests/processEnd.spec.ts
+++ b/tests/processEnd.spec.ts
@@ -83,6 +83,23 @@
     })
   }
 
+  // Guards against a signal that rotates logs or asks for a debugger ending an entry, or opening a port and descriptors in it.
+  it('should go on after signals that ask for nothing', async () => {
+    const program = run()
+    await program.started()
+    const signals = ['SIGUSR1', 'SIGUSR2', 'SIGALRM', 'SIGHUP', 'SIGPIPE', 'SIGWINCH'] as const
+    for (const signal of signals) {
+      program.process.kill(signal)
+      expect(await program.endWithin(200), signal).to.equal(undefined)
+    }
+    program.process.kill('SIGTERM')
+    expect(await program.ended).to.deep.equal({ code: 0, signal: null })
+    expect(program.errors).to.equal('')
+    for (const signal of signals.slice(0, 3)) {
+      expect(program.lines().map(({ reason }) => reason)).to.include(`${signal}: ignored`)
+    }
+  })
+
   it('should report memory and descriptors as metrics', async () => {
     const program = run()
     const { metrics } = await program.started()
--- a/utils/loader.cjs
+++ b/utils/loader.cjs
@@ -1,6 +1,6 @@
 // Starts the bundled entry with the V8 code cache from the build. A restart then compiles about half as much code.
-// By default a SIGHUP ends the process. The entry sets its own handler once it has read its settings.
-process.on('SIGHUP', () => {})
+// By default these end the process, or start Node's inspector. The entry sets its own handlers once it has read its settings.
+for (const signal of ['SIGHUP', 'SIGUSR1', 'SIGUSR2', 'SIGALRM']) process.on(signal, () => {})
 
 const { existsSync, readFileSync } = require('node:fs')
 const { createRequire, wrap } = require('node:module')
