Start entries whose ports are taken, and open these ports when they are free

Cause: startEntry bound all ports before it started, and a bind that failed rejected it. Class: something missing outside ends a process that is still of use, or would be soon. The supervisors of ports and reports had the same fault: they ended the process after five failures within a minute.

Change: each port has a process that tries to open it, every 50 to 250 ms for the ports that requests depend on and at growing pauses up to 30 s for those that only report. A change is one log line, at most one failure each 10 s. While a port for other entries (TCP or UDP) is closed the core does not start, so that it meets the others before it decides anything; while the callers' port is closed it works for the others in the phase 'starting'. Readiness and the directory follow the phase. A datagram socket that is not bound is no longer used, since it would send from a port of its own. Ports and reports are restarted without an end. Settings in which the directory or readiness has the callers' address share that port, as the reference says of an absent address; a reporting port with the address of another one is left out with a log line.

The metric gooseberryspan_port_closed_seconds tells which port is closed and for how long.

--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -81,6 +81,7 @@
   private _now = 0
   private _stoppedAt: number | undefined
   private _hasExited = false
+  private _callerPortIsOpen = true
 
   constructor (options: EntryOptions) {
     this._options = options
@@ -159,7 +160,7 @@
     if (this._now > 0 && now - this._now > MIN_PAUSE_MS) this.requests.processResumed(now)
     this._now = Math.max(this._now, now)
     this._handleEvent(event, this._now)
-    if (this.phase === 'starting' && this.replication.hasAllTables && this.declarations.gateway) this._enterPhase('ready', this._now)
+    if (this.phase === 'starting' && this._canServe) this._enterPhase('ready', this._now)
     return this._outbox.take()
   }
 
@@ -199,6 +200,10 @@
     return { versions: this.replication.versions }
   }
 
+  private get _canServe (): boolean {
+    return this._callerPortIsOpen && this.replication.hasAllTables && this.declarations.gateway !== undefined
+  }
+
   private _handleEvent (event: Event, now: number): void {
     switch (event.kind) {
       case 'tick': return this._tick(now)
@@ -212,6 +217,7 @@
       case 'pulled': return event.state && this.replication.pulled(event.state, now)
       case 'table-read': return this.replication.tableRead(event.table, event.reading, now)
       case 'entries-found': return this._entriesFound(event.book, now)
+      case 'caller-port': return this._callerPortChanged(event.isOpen, now)
       case 'stop': return this._stop(now)
     }
   }
@@ -305,6 +311,11 @@
     this.replication.entriesExpected(entryCount, now)
   }
 
+  private _callerPortChanged (isOpen: boolean, now: number): void {
+    this._callerPortIsOpen = isOpen
+    if (!isOpen && this.phase === 'ready') this._enterPhase('starting', now)
+  }
+
   private _stop (now: number): void {
     if (this._stoppedAt !== undefined) return
     this._stoppedAt = now
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -88,6 +88,12 @@
   book: AddressBook
 }
 
+/** The port for callers opened or closed. It counts as open until an event says otherwise. */
+export interface CallerPortEvent {
+  kind: 'caller-port'
+  isOpen: boolean
+}
+
 /** The process received the request to stop. */
 export interface StopEvent {
   kind: 'stop'
@@ -105,4 +111,5 @@
   | PulledEvent
   | TableReadEvent
   | EntriesFoundEvent
+  | CallerPortEvent
   | StopEvent
--- a/packages/csp/src/supervisor.ts
+++ b/packages/csp/src/supervisor.ts
@@ -40,6 +40,9 @@
 /** Default policy: tolerates up to five failures within a minute. */
 export const RESTART_POLICY: RestartPolicy = { maxFailures: 5, windowMs: 60_000, initialPauseMs: 100, maxPauseMs: 5000 }
 
+/** For children without which the process is still of use: they are started again however often they fail. */
+export const ENDLESS_RESTART_POLICY: RestartPolicy = { maxFailures: Infinity, windowMs: 60_000, initialPauseMs: 100, maxPauseMs: 30_000 }
+
 /** Runs its children. A supervisor can itself be the child of another supervisor. */
 export class Supervisor implements Child {
   readonly name: string
--- a/packages/entry/src/peers/datagramPort.ts
+++ b/packages/entry/src/peers/datagramPort.ts
@@ -32,16 +32,22 @@
     this._options = options
   }
 
-  /** Resolves with the port, which the system chooses if the configured port is 0. */
+  /** Starts listening unless it already listens. Resolves with the port, which the system chooses if the configured port is 0. */
   listen (): Promise<number> {
+    if (this._socket) return Promise.resolve(this._socket.address().port)
     return new Promise((resolve, reject) => {
       const socket = createSocket('udp4')
-      this._socket = socket
-      socket.once('error', reject)
+      const failed = (error: Error): void => {
+        socket.close()
+        reject(error)
+      }
+      socket.once('error', failed)
       socket.on('message', (data) => this._receive(data))
       socket.bind(this._options.port, this._options.host, () => {
-        socket.off('error', reject)
+        socket.off('error', failed)
         socket.on('error', () => {})
+        // A socket that is not bound would send from a port of its own.
+        this._socket = socket
         resolve(socket.address().port)
       })
     })
@@ -66,7 +72,7 @@
     this._batches.clear()
   }
 
-  close (): void {
+  async close (): Promise<void> {
     this._socket?.close()
     this._socket = undefined
   }
--- a/packages/entry/src/reports/prometheusMetrics.ts
+++ b/packages/entry/src/reports/prometheusMetrics.ts
@@ -3,6 +3,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { countDescriptors } from './processState.js'
 import type { DecisionObserver } from '../runtime/entryNode.js'
+import type { PortState } from '../runtime/ports.js'
 
 /** Functions that return the current gauge values; called when metrics are collected. */
 export interface GaugeSource {
@@ -16,6 +17,7 @@
   peerMessages: () => number
   callerConnections: () => number
   connectionsClosed: () => number
+  portStates: () => PortState[]
 }
 
 const REQUEST_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8]
@@ -58,6 +60,7 @@
     this._addGauge('peer_messages', 'Messages to other entries since start.', source.peerMessages)
     this._addGauge('caller_connections', 'Open connections of callers.', source.callerConnections)
     this._addGauge('connections_closed', 'Connections closed or refused since start to save descriptors.', source.connectionsClosed)
+    this._addPorts(source.portStates)
     this._addGauge('resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
     this._addGauge('peak_resident_bytes', 'Highest resident memory since start.', () => process.resourceUsage().maxRSS * BYTES_PER_KILOBYTE)
     this._addGauge('heap_bytes', 'Heap in use.', () => process.memoryUsage().heapUsed)
@@ -74,6 +77,18 @@
     else if (line.decision === 'granted') this._placements.observe({ service }, tookMs / 1000)
   }
 
+  private _addPorts (read: () => PortState[]): void {
+    const gauge: Gauge = new Gauge({
+      name: 'gooseberryspan_port_closed_seconds',
+      help: 'Time for which a port has not listened; 0 while it does.',
+      labelNames: ['port'],
+      registers: [this.registry],
+      collect: () => {
+        for (const { name, closedMs } of read()) gauge.set({ port: name }, closedMs / 1000)
+      }
+    })
+  }
+
   private _addGauge (name: string, help: string, read: () => number): void {
     const gauge: Gauge = new Gauge({ name: `gooseberryspan_${name}`, help, registers: [this.registry], collect: () => gauge.set(read()) })
   }
--- a/packages/entry/src/runtime/httpListener.ts
+++ b/packages/entry/src/runtime/httpListener.ts
@@ -103,11 +103,15 @@
   listen (): Promise<number> {
     if (this._server.listening) return Promise.resolve(this._port())
     return new Promise((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(this._options.port, this._options.host, () => {
-        this._server.off('error', reject)
+      const listening = (): void => {
+        this._server.off('error', failed)
         resolve(this._port())
-      })
+      }
+      const failed = (error: Error): void => {
+        this._server.off('listening', listening)
+        reject(error)
+      }
+      this._server.once('error', failed).once('listening', listening).listen(this._options.port, this._options.host)
     })
   }
 
--- a/packages/entry/src/runtime/processes.ts
+++ b/packages/entry/src/runtime/processes.ts
@@ -1,7 +1,6 @@
-/** Supervised processes of an entry that deliver clock ticks to the core and listen on the ports. */
-import { Channel, awaitPromise, sleepUntilStopped, takeWithTimeout, type Child, type Scope, type ProcessBody } from '@gooseberryspan/csp'
+/** The supervised process of an entry that delivers clock ticks to the core. */
+import { Channel, takeWithTimeout, type Child, type Scope, type ProcessBody } from '@gooseberryspan/csp'
 import type { EntryNode } from './entryNode.js'
-import type { HttpListener } from './httpListener.js'
 
 /** A tick may be delivered this much later than it is due, which avoids rescheduling for small differences. */
 const TICK_TOLERANCE_MS = 1
@@ -44,17 +43,3 @@
     }
   }
 }
-
-/** Creates a process that listens on a port until the process is stopped. */
-export function listenerProcess (name: string, listener: HttpListener, onListening: (port: number) => void = () => {}): Child {
-  return {
-    name,
-    * run (scope: Scope): ProcessBody<void> {
-      const port = yield * awaitPromise(listener.listen())
-      if (!port.ok) throw port.error
-      onListening(port.value)
-      yield * sleepUntilStopped(scope)
-      yield * awaitPromise(listener.close())
-    }
-  }
-}
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -5,7 +5,7 @@
 import {
   EntryCore, SeededRandom, type DecisionLine, type EntryOptions, type Invariant, type RowReader, type Tolerances
 } from '@gooseberryspan/core'
-import { RESTART_POLICY, Supervisor, type Child, type SupervisorListener } from '@gooseberryspan/csp'
+import { ENDLESS_RESTART_POLICY, RESTART_POLICY, Supervisor, type Child, type SupervisorListener } from '@gooseberryspan/csp'
 import {
   ConfigurationStore, HttpClient, HttpStore, DefaultStoreProtocol, DefaultRowReader, type Store, type StoreProtocol
 } from '@gooseberryspan/store'
@@ -24,7 +24,10 @@
 import { DescriptorBudget, readDescriptorLimit, type ListenerPort } from './runtime/descriptorBudget.js'
 import { EventRecorder } from './runtime/eventRecorder.js'
 import { HttpListener, type ListenerOptions } from './runtime/httpListener.js'
-import { listenerProcess, Ticker } from './runtime/processes.js'
+import { REPORTING_RETRY, SERVING_RETRY } from './runtime/port.js'
+import { PortGate } from './runtime/portGate.js'
+import { Ports, type PortState } from './runtime/ports.js'
+import { Ticker } from './runtime/processes.js'
 import { parseHostPort, type Settings } from './settings.js'
 import { StoreExecutor } from './store/storeExecutor.js'
 
@@ -57,7 +60,7 @@
   store: Store
   /** Resolves when the process has ended; rejects if its supervisor gave up. */
   ended: Promise<void>
-  /** Ports in use; where the settings say 0, the port that the system chose. */
+  /** The ports, where the settings say 0 the one that the system chose. A port that only reports is absent until it listens. */
   ports: { callers: number, peers: number, operators?: number, metrics?: number }
   /** Stops gracefully. Resolves with whether all open requests could finish. */
   stop (): Promise<boolean>
@@ -89,16 +92,20 @@
   callerServer: HttpListener
   losses: LossReport
   limits: ConnectionLimits
+  portStates: () => PortState[]
 }
 
-/** Builds and starts an entry. It listens before the core is built, so that the core reports the ports that the system chose. */
+/**
+ * Builds and starts an entry. It starts whichever of its ports are taken, and opens these when they are free. Ports that the system
+ * chooses are opened before the core is built, so that the core reports them.
+ */
 export async function startEntry (options: EntryProcessOptions): Promise<EntryProcess> {
   const { settings, log } = options
   const formats = options.formats ?? defaultFormats(settings)
   const now = (): number => performance.now()
   const client = new HttpClient(settings.store)
   const store = new HttpStore(client, formats.protocol)
-  const components: { node?: EntryNode, callers?: CallerListener, directory?: DirectoryListener } = {}
+  const components: { node?: EntryNode, callers?: CallerListener, directory?: DirectoryListener, gate?: PortGate } = {}
 
   const callerAddress = parseHostPort(settings.callers.address)
   const losses = new LossReport({ log, now })
@@ -106,8 +113,10 @@
   const onRejected = (reason: string, caller: string): void => log.info({ decision: 'malformed-request', reason, caller })
   const onError = (error: unknown): void => log.error({ err: error }, 'request failed with an internal error')
   const onDropped = (caller: string): void => log.info({ decision: 'request-dropped', reason: 'connection-closing', caller })
+  const { address: directoryAddress, readyAddress } = settings.directory
+  const servesDirectory = [directoryAddress, readyAddress].some((address) => sharesCallerPort(settings, address))
   const callerServer = new HttpListener((request, response) => {
-    const isDirectoryRequest = settings.directory.address === undefined && components.directory!.serves(request.url ?? '/')
+    const isDirectoryRequest = servesDirectory && components.directory!.serves(request.url ?? '/')
     const { listener } = isDirectoryRequest ? components.directory! : components.callers!
     listener(request, response)
   }, { ...callerAddress, ...DEFAULT_TIMEOUTS, ...limits('callers'), onRejected, onDropped, onError })
@@ -116,10 +125,15 @@
   const peerServer = new HttpListener(peerListener({ token, source: { stateFor: (query) => components.node!.stateFor(query) } }), {
     ...peerAddress, ...limits('peers'), headerMs: PEER_PORT_TIMEOUT_MS, idleMs: PEER_PORT_TIMEOUT_MS
   })
-  const callers = await callerServer.listen()
-  const peers = await peerServer.listen()
+  const openPorts = new Ports({ log, now })
+  const opened = (): void => components.gate?.update()
+  const callerPort = openPorts.add('callers', callerAddress, callerServer, SERVING_RETRY, opened)
+  const peerPort = openPorts.add('peers-tcp', peerAddress, peerServer, SERVING_RETRY, opened)
+  await callerPort.choose()
+  await peerPort.choose()
 
-  const built = buildCore(options, formats, { port: callers, peerPort: peers })
+  const ports: EntryProcess['ports'] = { callers: callerPort.number, peers: peerPort.number }
+  const built = buildCore(options, formats, { port: ports.callers, peerPort: ports.peers })
   const decisionObservers: DecisionObserver[] = []
   const decisionObserver: DecisionObserver = {
     onDecision: (line: DecisionLine) => decisionObservers.forEach((each) => each.onDecision(line))
@@ -134,9 +148,11 @@
   components.directory = new DirectoryListener({ node, keepSeconds: settings.directory.keepSeconds })
 
   const datagrams = new DatagramPort({
-    host: peerAddress.host, port: peers, token, self: () => built.core.roster.self, received: (envelope) => node.received(envelope)
+    host: peerAddress.host, port: ports.peers, token, self: () => built.core.roster.self, received: (envelope) => gate.received(envelope)
   })
-  await datagrams.listen()
+  const datagramPort = openPorts.add('peers-udp', { host: peerAddress.host, port: ports.peers }, datagrams, SERVING_RETRY, opened)
+  const gate = new PortGate({ node, callers: callerPort, peers: [peerPort, datagramPort] })
+  components.gate = gate
   const backends = new BackendClient({
     dialect: formats.dialect,
     connectMs: settings.backends.connectMs,
@@ -182,42 +198,46 @@
     rescheduleTick: () => ticker.reschedule()
   })
 
-  const watcher = supervisorLogger(log)
-  const supervise = (name: string, children: Child[]): Supervisor => new Supervisor({ name, children, policy: RESTART_POLICY, watcher })
-  const ports: EntryProcess['ports'] = { callers, peers }
-  const portProcesses = [listenerProcess('caller-port', callerServer), listenerProcess('peer-port', peerServer)]
-  for (const [name, address] of [
-    ['directory', settings.directory.address], ['ready', settings.directory.readyAddress]
-  ] as const) {
-    if (address === undefined) continue
-    const port = new HttpListener(
+  for (const [name, address] of [['directory', directoryAddress], ['ready', readyAddress]] as const) {
+    if (address === undefined || sharesCallerPort(settings, address)) continue
+    if (name === 'ready' && address === directoryAddress) continue
+    const listener = new HttpListener(
       (request, response) => components.directory!.listener(request, response),
       { ...parseHostPort(address), ...DEFAULT_TIMEOUTS, ...limits(name), onError }
     )
-    await port.listen()
-    portProcesses.push(listenerProcess(`${name}-port`, port))
+    openPorts.addUnlessUsed(name, parseHostPort(address), listener, SERVING_RETRY)
   }
   const operatorServer = createOperatorPort(options, node, store, limits('operators'))
   if (operatorServer) {
-    ports.operators = await operatorServer.listen()
-    portProcesses.push(listenerProcess('operator-port', operatorServer))
+    openPorts.addUnlessUsed('operators', parseHostPort(settings.operators.address), operatorServer, REPORTING_RETRY, (port) => {
+      ports.operators = port
+    })
   }
-  const reports = await createReporters(options, { node, client, datagrams, callerServer, losses, limits: limits('metrics') })
+  const portStates = (): PortState[] => openPorts.states()
+  const reports = await createReporters(options, { node, client, datagrams, callerServer, losses, limits: limits('metrics'), portStates })
   decisionObservers.push(...reports.decisionObservers)
   if (reports.port) {
-    ports.metrics = await reports.port.listen()
-    portProcesses.push(listenerProcess('metrics-port', reports.port))
+    openPorts.addUnlessUsed('metrics', parseHostPort(settings.metrics.address!), reports.port, REPORTING_RETRY, (port) => {
+      ports.metrics = port
+    })
   }
+  await openPorts.open()
+
+  const watcher = supervisorLogger(log)
+  const supervise = (name: string, children: Child[], policy = RESTART_POLICY): Supervisor =>
+    new Supervisor({ name, children, policy, watcher })
   const children: Child[] = [
-    supervise('store', storeExecutor.workers()), supervise('decisions', [ticker]), supervise('ports', portProcesses)
+    supervise('store', storeExecutor.workers()),
+    supervise('decisions', [gate.delay(ticker)]),
+    supervise('ports', openPorts.all, ENDLESS_RESTART_POLICY)
   ]
-  if (reports.children.length > 0) children.push(supervise('reports', reports.children))
+  if (reports.children.length > 0) children.push(supervise('reports', reports.children, ENDLESS_RESTART_POLICY))
   const root = supervise('root', children)
   const close = async (): Promise<void> => {
     await root.stop().catch(() => {})
     backends.close()
     probes.close()
-    datagrams.close()
+    await datagrams.close()
     client.close()
     reports.close()
     await recorder?.close()
@@ -234,6 +254,7 @@
     stop: async () => {
       log.info({ decision: 'stopping', open: node.open })
       node.handle({ kind: 'stop' })
+      if (!gate.isOpen) resolveLeft()
       const cutAt = now() + settings.stop.graceSeconds * 1000 * STOP_GRACE_FRACTION
       const graceful = await settlesWithin(hasLeft, cutAt - now())
       const { open } = node
@@ -263,6 +284,11 @@
   })
 }
 
+/** Whether an address of the directory is the callers' address, which is also its default. */
+function sharesCallerPort ({ callers }: Settings, address: string | undefined): boolean {
+  return address === undefined || address === callers.address
+}
+
 function defaultFormats (settings: Settings): PlatformFormats {
   return {
     dialect: new DefaultDialect(settings.backends.headerPrefix), protocol: new DefaultStoreProtocol(), reader: new DefaultRowReader()
@@ -322,7 +348,7 @@
 
 /** Creates the reporters that the settings enable. Loads a reporter's library only if it is enabled. */
 async function createReporters (options: EntryProcessOptions, sources: ReportSources) {
-  const { node, client, datagrams, callerServer, losses, limits } = sources
+  const { node, client, datagrams, callerServer, losses, limits, portStates } = sources
   const { metrics, instance } = options.settings
   const decisionObservers: DecisionObserver[] = []
   const children: Child[] = []
@@ -342,7 +368,8 @@
       storeRequests: () => client.requests,
       peerMessages: () => datagrams.messages,
       callerConnections: () => callerServer.connections,
-      connectionsClosed: () => losses.totalOf(CONNECTION_LOST)
+      connectionsClosed: () => losses.totalOf(CONNECTION_LOST),
+      portStates
     })
     decisionObservers.push(prometheusMetrics)
     port = new HttpListener(metricsListener(prometheusMetrics), { ...parseHostPort(metrics.address), ...DEFAULT_TIMEOUTS, ...limits })
--- a/tests/reference.spec.ts
+++ b/tests/reference.spec.ts
@@ -26,7 +26,8 @@
       storeRequests: none,
       peerMessages: none,
       callerConnections: none,
-      connectionsClosed: none
+      connectionsClosed: none,
+      portStates: () => []
     })
     const served = registry.getMetricsAsArray().map(({ name }) => name).sort()
     const named = [...new Set(read('docs/operators/metrics.md').match(/gooseberryspan_[a-z_]+/g))].sort()
