Let a stopping entry exit without waiting for held-back answers of the store

Operators saw a stopped entry end up to half a second after its last request, and later where the store was silent: the exit waited for reads that the store answers only after a change or after a time, so the end of the grace time could come first.

The processes that read the store are told to stop and then await the answers that they have asked for. The client is now closed before the wait, which ends these reads; a read that fails so is neither logged nor passed to the core.

--- a/packages/entry/src/store/storeExecutor.ts
+++ b/packages/entry/src/store/storeExecutor.ts
@@ -65,6 +65,7 @@
       const effect = yield * takeUnlessClosed(channel, scope.stopping)
       if (!effect) return
       const result = yield * awaitPromise(this._readTable(effect))
+      if (!result.ok && scope.stopping.closed) return
       if (!result.ok) this._options.failed(`read ${effect.table}`, result.error as Error)
       this._options.read(effect.table, result.ok ? result.value : { kind: 'unavailable', reason: String(result.error) })
     }
@@ -81,6 +82,7 @@
       const task = yield * takeUnlessClosed(this._tasks, scope.stopping)
       if (!task) return
       const result = yield * awaitPromise(task())
+      if (!result.ok && scope.stopping.closed) return
       if (!result.ok) this._options.failed('errand', result.error as Error)
     }
   }
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -194,11 +194,13 @@
   if (reports.children.length > 0) children.push(supervise('reports', reports.children))
   const root = supervise('root', children)
   const close = async (): Promise<void> => {
-    await root.stop().catch(() => {})
+    const stopped = root.stop().catch(() => {})
+    // Ends the reads that the store answers only after a change or a time.
+    client.close()
+    await stopped
     backends.close()
     probes.close()
     datagrams.close()
-    client.close()
     reports.close()
     await recorder?.close()
   }
