Refuse at a stopping entry what may outlast its grace time, and answer what does

Callers saw orders that a stopping entry had taken and passed on cut without an answer at the end of its grace time: requests were taken for the whole linger whatever time they had, and all connections were closed at 0.88 of the grace time.

- PlannedStop decides.
An attempt starts at a stopping entry only if the request's time (deadline or route timeout) ends before the entry closes.
Otherwise the request is refused at once as not run, with 0.1 s to the retry and the connection's close: on arrival, when the stop begins while it waits for a server, when a server is granted, and before a retry or hedge.
Orders and lookups alike: such a request has more time left than the entry, so a second trip costs it little, and being broken off costs it all.
- What was accepted before keeps its server until 0.5 s before the end of the grace time, however long that is.
Then the callers get a final answer, unknown if a server may have run the request; 0.25 s later the connections are closed.
- `stopped` counts these requests and the answers that callers had not taken, and the exit code is 1 if there are any.
Answers that were not taken counted as graceful before.

--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -19,6 +19,7 @@
 import { ServerStatements } from './placement/serverStatements.js'
 import { shuffled, type Random } from './random.js'
 import { CellSelector } from './requests/cellSelector.js'
+import { PlannedStop } from './requests/plannedStop.js'
 import { RequestHandler } from './requests/requestHandler.js'
 import { SchedulerClient } from './requests/schedulerClient.js'
 import { RowApplier } from './store/rowApplier.js'
@@ -42,6 +43,8 @@
   lapseMs: number
   /** How long a stopping entry still accepts requests from callers that have cached its address, in milliseconds. */
   lingerMs: number
+  /** How long after the start of a stop requests may stay open, in milliseconds; unlimited by default. */
+  stopLimitMs?: number
 }
 
 /** Time between ticks while a request waits for a server. */
@@ -70,6 +73,7 @@
   readonly cells: Cells
   readonly holds: ServerHolds
   readonly weightedPicker: WeightedPicker
+  readonly plannedStop: PlannedStop
   private readonly _options: EntryOptions
   private readonly _outbox = new Outbox()
   private readonly _joining: Joining
@@ -78,7 +82,6 @@
   private readonly _statements: ServerStatements
   private readonly _warmUp = new WarmUp(MAX_ACTIVE_TICK_MS)
   private _now = 0
-  private _stoppedAt: number | undefined
   private _hasExited = false
 
   constructor (options: EntryOptions) {
@@ -86,6 +89,7 @@
     const outbox = this._outbox
     const { random, identity, seeds } = options
     this.invariants = new Invariants(options.watcher)
+    this.plannedStop = new PlannedStop(options)
     this.declarations = new Declarations(this.invariants)
     this.catalog = new Catalog({
       lapseMs: options.lapseMs, isDeclared: (service) => this.declarations.service(service) !== undefined
@@ -148,7 +152,8 @@
       outbox,
       invariants,
       cellSelector,
-      holds
+      holds,
+      plannedStop: this.plannedStop
     })
     this.host.connect(this.requests)
   }
@@ -170,13 +175,13 @@
   pauseMs (now: number): number {
     if (this.requests.waiting || this.host.busy) return WAITING_TICK_MS
     const maxTickMs = !this.roster.self.isWarm || this.host.isActive(now) ? MAX_ACTIVE_TICK_MS : MAX_TICK_MS
-    const dueAt = Math.min(this.requests.dueAt, this.roster.dueAt, now + maxTickMs)
+    const dueAt = Math.min(this.requests.dueAt, this.roster.dueAt, this._closeDueAt, now + maxTickMs)
     return Math.max(MIN_TICK_MS, dueAt - now)
   }
 
   /** Whether this entry still accepts requests. */
   acceptsRequests (now: number): boolean {
-    return this._stoppedAt === undefined || now - this._stoppedAt < this._options.lingerMs
+    return this.plannedStop.accepts(now)
   }
 
   /** Returns the entries that callers may use. If there are more than one answer holds, those of the given zone come first. */
@@ -305,17 +310,24 @@
   }
 
   private _stop (now: number): void {
-    if (this._stoppedAt !== undefined) return
-    this._stoppedAt = now
+    if (!this.plannedStop.begin(now)) return
     this._enterPhase('leaving', now)
+    this.requests.stopBegan(now)
+  }
+
+  /** Time at which the end of a stop is due, while there is something to end. */
+  private get _closeDueAt (): number {
+    return this._hasExited && this.requests.open === 0 ? Infinity : this.plannedStop.closesAt
   }
 
   private _exitIfIdle (now: number): void {
-    if (
-      this._hasExited || this._stoppedAt === undefined || this.acceptsRequests(now) || this.requests.open > 0 || this.host.busy
-    ) return
+    const { startedAt, closesAt } = this.plannedStop
+    if (startedAt === undefined) return
+    if (now >= closesAt) this.requests.closeAll(now)
+    else if (this.acceptsRequests(now) || this.requests.open > 0 || this.host.busy) return
+    if (this._hasExited) return
     this._hasExited = true
-    this._outbox.log({ decision: 'left', tookMs: Math.round(now - this._stoppedAt) })
+    this._outbox.log({ decision: 'left', tookMs: Math.round(now - startedAt) })
     this._outbox.put({ kind: 'left' })
   }
 }
--- a/packages/core/src/requests/requestHandler.ts
+++ b/packages/core/src/requests/requestHandler.ts
@@ -9,7 +9,9 @@
 import { UNUSED_REPORT, type LocalRequestListener, type SchedulerHost } from '../placement/schedulerHost.js'
 import type { ServerHolds } from '../placement/serverHolds.js'
 import type { CellSelector } from './cellSelector.js'
+import type { PlannedStop } from './plannedStop.js'
 import { newRequest, type SchedulerRequest, type Attempt, type OpenRequest, type RequestSpec } from './request.js'
+import { RequestLog } from './requestLog.js'
 import type { SchedulerClient } from './schedulerClient.js'
 
 export interface RequestHandlerOptions {
@@ -22,6 +24,7 @@
   invariants: Invariants
   cellSelector: CellSelector
   holds: ServerHolds
+  plannedStop: PlannedStop
 }
 
 /** The handler hedges, that is, asks for a second server, once an answer takes this many times as long as expected. */
@@ -42,15 +45,18 @@
 /** Accepts requests and ends each with exactly one answer or refusal. */
 export class RequestHandler implements LocalRequestListener {
   private readonly _options: RequestHandlerOptions
+  private readonly _log: RequestLog
   private readonly _requests = new Map<number, OpenRequest>()
   private readonly _bySchedulerRequest = new Map<number, OpenRequest>()
   private readonly _byAttempt = new Map<number, OpenRequest>()
   private _lastSchedulerRequestId = 0
   private _lastAttemptId = 0
   private _resumedAt = -Infinity
+  private _brokenOff = 0
 
   constructor (options: RequestHandlerOptions) {
     this._options = options
+    this._log = new RequestLog(options)
   }
 
   /** Number of requests that have not ended. */
@@ -58,6 +64,11 @@
     return this._requests.size
   }
 
+  /** Number of requests that a server may have run and that the end of a stop left without an answer. */
+  get brokenOff (): number {
+    return this._brokenOff
+  }
+
   /** Whether a request has not ended. */
   isOpen (request: number): boolean {
     return this._requests.has(request)
@@ -88,6 +99,7 @@
   requestArrived (spec: RequestSpec, now: number): void {
     const request = newRequest(spec, this._options.cellSelector.choose(spec.service), now)
     this._requests.set(spec.id, request)
+    if (!this._options.plannedStop.leavesTimeFor(request.expiresAt)) return this._endForStop(request, now)
     this._requestServer(request, 'first', now)
   }
 
@@ -156,7 +168,7 @@
     if (!request || !attempt) return
     this._removeAttempt(request, id)
     this._report(request, attempt.ask, attempt.server.id, report, now)
-    if (report.outcome !== 'answered') this._logAttemptEnd(request, attempt, report, status)
+    if (report.outcome !== 'answered') this._log.attemptEnded(request, attempt, report, status)
     if (request.callerLeft) {
       if (request.attempts.size === 0) this._requests.delete(request.spec.id)
       return
@@ -181,13 +193,31 @@
     }
   }
 
-  /** Refuses all requests that have no attempt, because the process is about to end. */
-  refuseWaiting (now: number): void {
+  /** Handles the beginning of a stop: refuses the requests that still wait for a server and may not end before this entry closes. */
+  stopBegan (now: number): void {
+    const { plannedStop } = this._options
+    for (const request of [...this._requests.values()]) {
+      if (request.attempts.size === 0 && !plannedStop.leavesTimeFor(request.expiresAt)) this._endForStop(request, now)
+    }
+  }
+
+  /** Ends all requests at the end of a stop. The caller of one that was sent is told that its outcome is unknown. */
+  closeAll (now: number): void {
     for (const request of [...this._requests.values()]) {
-      if (request.attempts.size === 0) this._end(request, 'stopping', STOPPING_RETRY_AFTER_MS, now)
+      if (request.callerLeft) {
+        this._abandon(request, now)
+        continue
+      }
+      if (request.fallbackAttempt === undefined && (request.mayHaveRun || request.attempts.size > 0)) this._brokenOff += 1
+      this._endForStop(request, now)
     }
   }
 
+  private _endForStop (request: OpenRequest, now: number): void {
+    const mayHaveRun = request.mayHaveRun || request.attempts.size > 0
+    this._end(request, 'stopping', mayHaveRun ? undefined : STOPPING_RETRY_AFTER_MS, now)
+  }
+
   /** Switches the request to another cell, at most once: if one server of a cell is unreachable or full, others usually are too. */
   private _switchCell (request: OpenRequest, cell: string): void {
     request.moved = cell !== request.cell
@@ -200,6 +230,9 @@
   }
 
   private _requestServerFrom (request: OpenRequest, purpose: Purpose, scheduler: string, now: number): void {
+    if (!this._options.plannedStop.leavesTimeFor(request.expiresAt)) {
+      return request.attempts.size > 0 || request.asks.size > 0 ? undefined : this._endForStop(request, now)
+    }
     if (request.schedulerRequestCount >= MAX_SCHEDULER_REQUESTS || this._firstReturnMs(request, now) > 0) {
       return this._schedulerRequestsExhausted(request, now)
     }
@@ -253,23 +286,7 @@
     request.sentTo.push(server.id)
     request.avoid.push(server.id)
     const leftMs = request.expiresAt - now
-    outbox.log({
-      decision: 'dispatched',
-      request: spec.label,
-      route: spec.route.name,
-      service: spec.service,
-      server: server.id,
-      instance: schedulerRequest.scheduler,
-      attempt: attempt.id,
-      purpose: schedulerRequest.purpose,
-      expectedMs: Math.round(expectedMs),
-      leftMs: Math.round(leftMs),
-      readingAgeMs: basis?.ageMs,
-      running: basis?.running,
-      waiting: basis?.waiting,
-      pace: basis?.pace,
-      revision: declarations.revision
-    })
+    this._log.dispatched(request, attempt, basis, now)
     const further = schedulerRequest.purpose === 'retry' || schedulerRequest.purpose === 'hedge'
     outbox.put({
       kind: 'dispatch',
@@ -325,6 +342,7 @@
   private _mayHedge (request: OpenRequest): boolean {
     const { route, replayable, retrySpent, depth } = request.spec
     if (!route.repeatable || !replayable || retrySpent || depth > 0) return false
+    if (!this._options.plannedStop.leavesTimeFor(request.expiresAt)) return false
     return request.sentTo.length < route.attempts && request.attempts.size === 1
   }
 
@@ -343,7 +361,8 @@
 
   /** Returns why the granted server must not be used, or undefined: this entry may have newer information than the scheduler. */
   private _grantRejectionReason (request: OpenRequest, server: RegisteredServer, now: number): string | undefined {
-    const { declarations, catalog, holds } = this._options
+    const { declarations, catalog, holds, plannedStop } = this._options
+    if (!plannedStop.leavesTimeFor(request.expiresAt)) return 'stopping'
     if (!declarations.zoneIsIn(server.zone)) return 'zone-out'
     if (catalog.get(server.id)?.state === 'draining') return 'draining'
     if (holds.isHeld(server, now)) return 'held'
@@ -356,19 +375,7 @@
   private _answer (request: OpenRequest, attempt: Attempt, { load }: AttemptReport, status: number | undefined, now: number): void {
     const { spec } = request
     this._close(request, now)
-    this._options.outbox.log({
-      decision: 'answered',
-      request: spec.label,
-      service: spec.service,
-      server: attempt.server.id,
-      attempt: attempt.id,
-      status,
-      tookMs: Math.round(now - request.arrivedAt),
-      running: load?.running,
-      waiting: load?.waiting,
-      pace: load?.pace,
-      count: request.sentTo.length
-    })
+    this._log.answered(request, attempt, load, status, now)
     this._options.outbox.put({ kind: 'answer', request: spec.id, attempt: attempt.id })
   }
 
@@ -390,32 +397,14 @@
     const { outbox, invariants } = this._options
     const mayHaveRun = request.mayHaveRun || request.attempts.size > 0
     this._close(request, now)
-    const tookMs = Math.round(now - request.arrivedAt)
     const retryAfterMs = this._retryAfterMs(request, reason, suggestedMs, now)
     if (fallbackAttempt !== undefined && !request.streaming) {
-      outbox.log({
-        decision: 'answered',
-        request: spec.label,
-        service: spec.service,
-        attempt: fallbackAttempt,
-        reason,
-        tookMs,
-        count: request.sentTo.length
-      })
+      this._log.answeredWithFailure(request, fallbackAttempt, reason, now)
       return outbox.put({ kind: 'answer', request: spec.id, attempt: fallbackAttempt })
     }
     const outcome = mayHaveRun ? 'unknown' : 'not-run'
     invariants.check('not-run-truth', outcome === 'unknown' || !request.mayHaveRun, () => `${spec.label} may have run`)
-    outbox.log({
-      decision: 'refused',
-      request: spec.label,
-      route: spec.route.name,
-      service: spec.service,
-      reason: `${outcome}: ${reason}`,
-      tookMs,
-      count: request.sentTo.length,
-      retryAfterMs: retryAfterMs === undefined ? undefined : Math.round(retryAfterMs)
-    })
+    this._log.refused(request, `${outcome}: ${reason}`, retryAfterMs, now)
     outbox.put({ kind: 'refuse', request: spec.id, outcome, reason, retryAfterMs })
   }
 
@@ -455,19 +444,6 @@
     request.attempts.delete(attempt)
     this._byAttempt.delete(attempt)
   }
-
-  private _logAttemptEnd ({ spec }: OpenRequest, attempt: Attempt, report: AttemptReport, status: number | undefined): void {
-    this._options.outbox.log({
-      decision: 'attempt-ended',
-      request: spec.label,
-      service: spec.service,
-      server: attempt.server.id,
-      attempt: attempt.id,
-      reason: report.outcome,
-      status,
-      tookMs: Math.round(report.tookMs)
-    })
-  }
 }
 
 function failureReason (refusal: RefusalReason, request: OpenRequest): FailureReason {
--- a/packages/entry/src/runtime/eventRecorder.ts
+++ b/packages/entry/src/runtime/eventRecorder.ts
@@ -4,7 +4,7 @@
 import type { Recorder } from './entryNode.js'
 
 /** The first line of a trace: the options from which the core is built. */
-export interface TraceHeader extends Pick<EntryOptions, 'identity' | 'seeds' | 'tolerances' | 'lapseMs' | 'lingerMs'> {
+export interface TraceHeader extends Pick<EntryOptions, 'identity' | 'seeds' | 'tolerances' | 'lapseMs' | 'lingerMs' | 'stopLimitMs'> {
   seed: number
 }
 
--- a/packages/entry/src/runtime/httpListener.ts
+++ b/packages/entry/src/runtime/httpListener.ts
@@ -122,6 +122,11 @@
     }
   }
 
+  /** Number of responses that callers have not taken. */
+  get unanswered (): number {
+    return this._openResponses.size
+  }
+
   /** Closes all remaining connections immediately. */
   cut (): void {
     this._server.closeAllConnections()
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -67,8 +67,10 @@
 const PEER_PULL_TIMEOUT_MS = 800
 const DEFAULT_TIMEOUTS = { headerMs: 5000, idleMs: 15_000 }
 const SEED_LIMIT = 2 ** 32
-/** Fraction of the grace time after which a stopping process aborts the requests that are still open. */
-const STOP_GRACE_FRACTION = 0.88
+/** A stopping process ends open requests this long before its grace time is over. Callers need it to take the last answers. */
+const STOP_MARGIN_MS = 500
+/** Of that, the time to close connections and exit, on an instance with half a core that is paused tens of milliseconds at a time. */
+const EXIT_MARGIN_MS = 250
 const MIN_STOP_WAIT_MS = 20
 const MAX_BUFFERED_ANSWER_BYTES = 262_144
 /** Slightly longer than the two seconds within which lapsed registrations are renewed after the store is reachable again. */
@@ -214,19 +216,19 @@
     ended,
     ports,
     stop: async () => {
+      const graceEndsAt = now() + settings.stop.graceSeconds * 1000
       log.info({ decision: 'stopping', open: node.open })
       node.handle({ kind: 'stop' })
-      const cutAt = now() + settings.stop.graceSeconds * 1000 * STOP_GRACE_FRACTION
-      const graceful = await settlesWithin(hasLeft, cutAt - now())
-      const { open } = node
-      built.core.invariants.check('stop-cuts-nothing', graceful || open === 0, () => `${open} requests at the stop limit`)
+      await settlesWithin(hasLeft, graceEndsAt - EXIT_MARGIN_MS - now())
       // Slow callers still receive answers.
-      await settlesWithin(callerServer.answered(), cutAt - now())
+      await settlesWithin(callerServer.answered(), graceEndsAt - EXIT_MARGIN_MS - now())
+      const cut = built.core.requests.brokenOff + callerServer.unanswered
+      built.core.invariants.check('stop-cuts-nothing', cut === 0, () => `${cut} requests at the stop limit`)
       callerServer.cut()
       peerServer.cut()
-      await close()
-      log.info({ decision: 'stopped', cut: open })
-      return open === 0
+      await settlesWithin(close(), graceEndsAt - now())
+      log.info({ decision: 'stopped', cut })
+      return cut === 0
     },
     crash: () => {
       callerServer.cut()
@@ -254,7 +256,8 @@
     isFirstStart: settings.peers.firstStart,
     tolerances: readTolerances(settings),
     lapseMs: REGISTRATION_LAPSE_MS,
-    lingerMs: settings.stop.lingerSeconds * 1000
+    lingerMs: settings.stop.lingerSeconds * 1000,
+    stopLimitMs: Math.max(0, settings.stop.graceSeconds * 1000 - STOP_MARGIN_MS)
   }
   const core = new EntryCore({ ...head, reader, random: new SeededRandom(seed), watcher: invariantReporter(options) })
   return { core, head }
