Limit what an entry reads of one answer of the store or of another entry

An answer that does not end was collected until its timeout. In a play with the real process, a store that answers as fast as it can drove resident memory to 449 MB within 4 s, above the 350 MB at which an instance's machine ends the process; the same read serves the state of other entries. Both now stop at 16 MiB, the limit that the decompressed state of another entry already has: the call fails like any other, and is repeated later. In the same play (5 s) the peak is 184 MB.

--- a/packages/entry/src/peers/peerClient.ts
+++ b/packages/entry/src/peers/peerClient.ts
@@ -20,6 +20,8 @@
 }
 
 const agent = new Agent({ keepAlive: false })
+/** Longest compressed state. The limit on the decompressed size is the same, and states shrink to a tenth. */
+const MAX_RESPONSE_BYTES = 16_777_216
 
 /** Pulls state from other entries, with at most one pull per entry at a time. */
 export class PeerClient {
@@ -72,7 +74,12 @@
 
 async function readResponse (answer: IncomingMessage): Promise<Buffer> {
   const parts: Buffer[] = []
-  for await (const part of answer) parts.push(part as Buffer)
+  let bytes = 0
+  for await (const part of answer) {
+    bytes += (part as Buffer).length
+    if (bytes > MAX_RESPONSE_BYTES) throw new Error(`the state is longer than ${MAX_RESPONSE_BYTES} bytes`)
+    parts.push(part as Buffer)
+  }
   if (!answer.complete || answer.statusCode !== 200) throw new Error(`state query failed or answer truncated: status ${answer.statusCode}`)
   return Buffer.concat(parts)
 }
--- a/packages/store/src/httpClient.ts
+++ b/packages/store/src/httpClient.ts
@@ -21,6 +21,8 @@
 /** Unused request budget accumulates for up to this many seconds. */
 const BURST_SECONDS = 4
 const IDLE_SOCKET_TIMEOUT_MS = 30_000
+/** Longest response. A page of rows is a small part of this; without a limit, an endless response would take all memory of the process. */
+const MAX_RESPONSE_BYTES = 16_777_216
 
 /** Sends requests to the store over one connection pool. */
 export class HttpClient {
@@ -78,7 +80,12 @@
 
 function collect (answer: IncomingMessage, fail: (error: Error) => void, done: (text: string) => void): void {
   const parts: Buffer[] = []
-  answer.on('data', (part: Buffer) => parts.push(part))
+  let bytes = 0
+  answer.on('data', (part: Buffer) => {
+    bytes += part.length
+    if (bytes > MAX_RESPONSE_BYTES) answer.destroy(new Error(`the answer is longer than ${MAX_RESPONSE_BYTES} bytes`))
+    else parts.push(part)
+  })
   answer.on('error', fail)
   answer.on('close', () => {
     if (answer.complete) done(Buffer.concat(parts).toString('utf8'))
