Forget requests whose callers left while they waited for a server

Operators saw processes that grew until the machine ended them: an entry kept the request, the response and the held body, up to 1 MiB, of each caller that left before its request had a server. The gauge of open requests never fell, and each later stop counted them as cut.

Cause: the core removed such a request without an effect, and the node that executes effects keeps its own map of requests, which only answers, refusals and ends of attempts cleared. Class: state beside the core whose end the core does not report.

The core now reports each end: an answer, a refusal, or the new effect 'discard'. The node keeps no answer that comes after it.

--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -62,6 +62,12 @@
   retryAfterMs?: number
 }
 
+/** Forget a request that ended without an answer or refusal, since its caller has closed the connection. */
+export interface DiscardEffect {
+  kind: 'discard'
+  request: number
+}
+
 /** Ask a backend server for its health and load. */
 export interface ProbeEffect {
   kind: 'probe'
@@ -207,6 +213,7 @@
   | CancelEffect
   | AnswerEffect
   | RefuseEffect
+  | DiscardEffect
   | ProbeEffect
   | DisconnectEffect
   | SendEffect
--- a/packages/core/src/requests/requestHandler.ts
+++ b/packages/core/src/requests/requestHandler.ts
@@ -114,7 +114,7 @@
     this._options.outbox.log({ decision: 'caller-left', request: request.spec.label, count: request.attempts.size })
     this._withdrawAll(request, now)
     if (request.spec.route.repeatable) this._cancelAll(request, now)
-    if (request.attempts.size === 0) this._requests.delete(id)
+    if (request.attempts.size === 0) this._discard(id)
   }
 
   granted (askId: number, grant: Omit<Grant, 'request'>, now: number): void {
@@ -173,7 +173,7 @@
     this._report(request, attempt.ask, attempt.server.id, report, now)
     if (report.outcome !== 'answered') this._log.attemptEnded(request, attempt, report, status)
     if (request.callerLeft) {
-      if (request.attempts.size === 0) this._requests.delete(request.spec.id)
+      if (request.attempts.size === 0) this._discard(request.spec.id)
       return
     }
     this._handleOutcome(request, attempt, report, status, now)
@@ -389,11 +389,17 @@
 
   /** Cancels the attempts of an expired request whose caller closed its connection. */
   private _abandon (request: OpenRequest, now: number): void {
-    this._requests.delete(request.spec.id)
     this._cancelAll(request, now)
+    this._discard(request.spec.id)
     this._options.outbox.log({ decision: 'abandoned', request: request.spec.label, tookMs: Math.round(now - request.arrivedAt) })
   }
 
+  /** Ends a request whose caller has left. */
+  private _discard (id: number): void {
+    this._requests.delete(id)
+    this._options.outbox.put({ kind: 'discard', request: id })
+  }
+
   /** Ends a request without a successful answer: passes on a server's error answer if there is one, or refuses the request. */
   private _end (request: OpenRequest, reason: FailureReason, suggestedMs: number | undefined, now: number): void {
     const { spec, fallbackAttempt } = request
--- a/packages/entry/src/runtime/entryNode.ts
+++ b/packages/entry/src/runtime/entryNode.ts
@@ -214,6 +214,7 @@
       case 'dispatch': return this._dispatch(effect)
       case 'answer': return this._answer(effect.request, effect.attempt)
       case 'refuse': return this._refuse(effect)
+      case 'discard': return this._discardRequest(effect.request)
       case 'cancel':
         this._answers.delete(effect.attempt)
         return this._handlers.backends.cancel(effect.attempt)
@@ -238,15 +239,13 @@
       whole: (answer) => this._keepAnswer(request, attempt, answer),
       large: (answer, done) => this._stream(attempt, exchange, answer, done),
       stated: (statement) => this._stated(effect.server, statement),
-      ended: (report, status) => {
-        this.handle({ kind: 'attempt-ended', attempt, report, status })
-        if (!this.core.requests.isOpen(request)) this._discardRequest(request)
-      }
+      ended: (report, status) => this.handle({ kind: 'attempt-ended', attempt, report, status })
     })
   }
 
   /** Keeps each answer until its request ends: an error answer may turn out to be the best one available. */
   private _keepAnswer (request: number, attempt: number, answer: Answer): void {
+    if (!this._exchanges.has(request)) return
     this._answers.set(attempt, answer)
     const attempts = this._answeredAttempts.get(request)
     if (attempts) attempts.push(attempt)
