Accept settings that make sense, and leave out unusable ones that an entry can do without

Operators would have seen an entry that ends at each start with code 2 because of a value that its platform may give: a name with an underscore or of more than 63 characters, a grace time of 0, a cold overage below 1, a retry ratio above 10, metrics at 'null:9464', one seed that is no address.

Cause: bounds of the schema that follow from nothing in the code, and one unusable part that refuses the whole. Class: a start that is refused for something the entry can do without.

Change: the bounds are those that the code needs. Metrics, seeds and the number of descriptors are left out when they are unusable, each with the log line setting-left-out. Ports above 65535, IP numbers above 255 and one address for callers and for other entries are refused now, since such a port could never open.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -3,7 +3,7 @@
 import { pino } from 'pino'
 import { ProcessEnd } from './reports/processEnd.js'
 import { LogSink } from './reports/logSink.js'
-import { readSettings, type Settings } from './settings.js'
+import { readSettings, readUsableSettings, type Settings, type UsableSettings } from './settings.js'
 import { startEntry, type PlatformFormats } from './wiring.js'
 
 /** Options by which a platform adapts the program. */
@@ -35,22 +35,25 @@
     .showHelpAfterError()
   const { settings: path, check, record } = command.parse(argv).opts<CommandLineOptions>()
   if (path === undefined) return command.error('missing settings file: name it with --settings FILE', { exitCode: EXIT_INVALID_SETTINGS })
-  let settings: Settings
+  let usable: UsableSettings
   try {
-    settings = readSettings(path)
+    usable = check ? { settings: readSettings(path), leftOut: [] } : readUsableSettings(path)
   } catch (error) {
     process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`)
     process.exitCode = EXIT_INVALID_SETTINGS
     return
   }
   if (check) return void process.stdout.write('settings are valid\n')
-  await run(settings, path, record, program.formats)
+  await run(usable, path, record, program.formats)
 }
 
-async function run (settings: Settings, path: string, record: string | undefined, formats: PlatformFormats | undefined): Promise<void> {
+async function run (
+  { settings, leftOut }: UsableSettings, path: string, record: string | undefined, formats: PlatformFormats | undefined
+): Promise<void> {
   const sink = new LogSink({ maxBytes: settings.log.mostBytes })
   const log = pino({ level: settings.log.level, base: { logger: settings.instance } }, sink)
   const end = new ProcessEnd({ log, sink })
+  for (const reason of leftOut) log.warn({ decision: 'setting-left-out', reason })
   process.on('SIGHUP', () => checkChangedSettings(settings, path, log))
   for (const signal of IGNORED_SIGNALS) process.on(signal, () => log.info({ decision: 'signal', reason: `${signal}: ignored` }))
   const entry = await startEntry({ settings, log, record, formats, droppedLogLines: () => sink.dropped }).catch((error: unknown) => {
@@ -81,7 +84,9 @@
 /** Settings take effect only at a start. Checks a changed file immediately, so that a mistake is reported before the next start. */
 function checkChangedSettings (settings: Settings, path: string, log: pino.Logger): void {
   try {
-    const changed = JSON.stringify(readSettings(path)) !== JSON.stringify(settings)
+    const { settings: read, leftOut } = readUsableSettings(path)
+    for (const reason of leftOut) log.warn({ decision: 'setting-left-out', reason })
+    const changed = JSON.stringify(read) !== JSON.stringify(settings)
     log.info({ decision: 'reload', reason: changed ? 'changed: takes effect at the next start' : 'unchanged' })
   } catch (error) {
     log.warn({ decision: 'reload', reason: error instanceof Error ? error.message : String(error) })
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -1,22 +1,25 @@
 /** Settings of one entry process, read from YAML. */
 import { readFileSync } from 'node:fs'
+import { isIPv4 } from 'node:net'
 import { parse } from 'yaml'
 import * as z from 'zod'
 import { InvalidSettings } from './errors.js'
 
 const ADDRESS = /^(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})$/
-const addressSchema = z.string().regex(ADDRESS, 'must be an IP number and a port, like 10.0.1.10:8080')
+const MAX_PORT = 65_535
+const addressSchema = z.string().refine(isAddress, 'must be an IP number and a port, like 10.0.1.10:8080')
 
 /** Treats null and the empty string as absent, since a platform's settings template may leave a value empty. */
 const optional = <T extends z.ZodType>(schema: T) => z.preprocess((value) => value === null || value === '' ? undefined : value, schema)
 
 /** Schema of the settings file. The settings reference is generated from it. */
 export const settingsSchema = z.strictObject({
-  instance: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9.-]{0,62}$/).describe('Name of this instance, unique among all.'),
+  instance: z.string().regex(/^[\x21-\x7e]{1,255}$/, 'must be 1 to 255 visible ASCII characters')
+    .describe('Name of this instance, unique among all.'),
   zone: z.string().min(1).describe('Availability zone this instance is in.'),
   cores: z.strictObject({
-    share: optional(z.number().positive().max(1024).default(1)).describe('Part of a core that this instance may use, or several cores.'),
-    of: optional(z.number().positive().max(1024).default(1)).describe('How fast that core is, against an ordinary one.')
+    share: optional(z.number().positive().default(1)).describe('Part of a core that this instance may use, or several cores.'),
+    of: optional(z.number().positive().default(1)).describe('How fast that core is, against an ordinary one.')
   }).prefault({}),
   limits: z.strictObject({
     descriptors: optional(z.int().min(1).optional()).describe(
@@ -48,12 +51,12 @@
     requestsPerSecond: z.number().positive().default(20).describe('Requests that this process may send to the store, a second.')
   }),
   tolerances: z.strictObject({
-    retryRatio: optional(z.number().min(0).max(10).default(0.2)).describe('Further attempts that a service bears for each request.'),
+    retryRatio: optional(z.number().min(0).default(0.2)).describe('Further attempts that a service bears for each request.'),
     retrySlack: optional(z.number().min(0).default(20)).describe(
       'Further attempts that a service bears beyond the ratio within one window.'
     ),
     retryWindowSeconds: optional(z.number().positive().default(10)).describe('Window of the two values above, in seconds.'),
-    coldOverage: optional(z.number().min(1).default(1.5)).describe('How far requests to a cold backend server may go beyond its rate.'),
+    coldOverage: optional(z.number().min(0).default(1.5)).describe('How far requests to a cold backend server may go beyond its rate.'),
     coldSlack: optional(z.number().min(0).default(3)).describe('Requests to a cold backend server beyond that within one second.')
   }).prefault({}),
   backends: z.strictObject({
@@ -62,7 +65,7 @@
     headerPrefix: z.string().regex(/^[a-z][a-z0-9-]*$/).default('gooseberryspan').describe('Prefix of our header names.')
   }).prefault({}),
   stop: z.strictObject({
-    graceSeconds: optional(z.number().positive().default(30)).describe('Longest time for a planned stop, in seconds.'),
+    graceSeconds: optional(z.number().min(0).default(30)).describe('Longest time for a planned stop, in seconds.'),
     lingerSeconds: optional(z.number().min(0).default(2.2))
       .describe('How long a stopping entry still takes requests of callers that kept its address, in seconds.')
   }).prefault({}),
@@ -98,21 +101,72 @@
   return { host: host!, port: Number(port) }
 }
 
+/** Settings with what had to be left out of them. */
+export interface UsableSettings {
+  settings: Settings
+  /** One message for each part that is unusable and that an entry can do without. */
+  leftOut: string[]
+}
+
+/** Parts without which an entry serves all the same. A part of the metrics is left out on its own, and so is one seed. */
+const DISPENSABLE = [['metrics', 'address'], ['metrics', 'statsd'], ['peers', 'seeds'], ['limits', 'descriptors']] as const
+
 /** Validates settings that were read from YAML or built by a program. */
 export function checkSettings (raw: unknown): Settings {
   const result = settingsSchema.safeParse(raw)
-  if (result.success) return result.data
-  const faults = result.error.issues.map((issue) => `${issue.path.join('.') || 'settings'}: ${issue.message}`)
-  throw new InvalidSettings('settings refused: %s', faults.join('; '))
+  if (!result.success) throw refused(result.error.issues)
+  const { callers, peers } = result.data
+  if (callers.address === peers.address && parseHostPort(peers.address).port !== 0) {
+    throw new InvalidSettings('settings refused: callers.address and peers.address are the same')
+  }
+  return result.data
+}
+
+/** Validates settings, but leaves out unusable parts that an entry can do without. */
+export function usableSettings (raw: unknown): UsableSettings {
+  const issues = settingsSchema.safeParse(raw).error?.issues ?? []
+  const faults = issues.filter(({ path }) => DISPENSABLE.some(([section, name]) => path[0] === section && path[1] === name))
+  if (faults.length === 0 || faults.length < issues.length) return { settings: checkSettings(raw), leftOut: [] }
+  const reduced = structuredClone(raw) as Record<string, Record<string, unknown>>
+  for (const { path: [section, name] } of faults) {
+    const part = reduced[String(section)]!
+    if (name === 'seeds') part.seeds = usableSeeds(part.seeds)
+    else Reflect.deleteProperty(part, String(name))
+  }
+  return { settings: checkSettings(reduced), leftOut: faults.map(textOf) }
 }
 
 /** Reads and validates a settings file. */
 export function readSettings (path: string): Settings {
-  let raw: unknown
+  return checkSettings(readRaw(path))
+}
+
+/** Reads a settings file as an entry that starts does. */
+export function readUsableSettings (path: string): UsableSettings {
+  return usableSettings(readRaw(path))
+}
+
+function readRaw (path: string): unknown {
   try {
-    raw = parse(readFileSync(path, 'utf8'))
+    return parse(readFileSync(path, 'utf8'))
   } catch (error) {
     throw new InvalidSettings({ cause: error as Error }, 'cannot read settings from %s', path)
   }
-  return checkSettings(raw)
+}
+
+function refused (issues: z.core.$ZodIssue[]): InvalidSettings {
+  return new InvalidSettings('settings refused: %s', issues.map(textOf).join('; '))
+}
+
+function textOf ({ path, message }: z.core.$ZodIssue): string {
+  return `${path.join('.') || 'settings'}: ${message}`
+}
+
+function isAddress (text: string): boolean {
+  const [, host, port] = ADDRESS.exec(text) ?? []
+  return host !== undefined && isIPv4(host) && Number(port) <= MAX_PORT
+}
+
+function usableSeeds (seeds: unknown): unknown[] {
+  return Array.isArray(seeds) ? seeds.filter((seed) => addressSchema.safeParse(seed).success) : []
 }
