Read a settings file again that is missing or incomplete at a start

An entry that started while its platform replaced the settings file ended with code 2 (or, on 34 of the 521 beginnings of the filled-in template, started on a part of its settings, without tolerances or metrics).

Cause: the file was read once, although it may change at any time. Class: a moment's state outside ends a process.

Result: the four tests of a file that is missing, empty, half written or lacks its last lines failed on the code before, with awaitSettings replaced by readSettings. The test through the program passed there on a busy machine, since it started late.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -3,7 +3,7 @@
 import { pino } from 'pino'
 import { ProcessEnd } from './reports/processEnd.js'
 import { LogSink } from './reports/logSink.js'
-import { readSettings, readUsableSettings, type Settings, type UsableSettings } from './settings.js'
+import { awaitSettings, readSettings, readUsableSettings, type Settings, type UsableSettings } from './settings.js'
 import { startEntry, type PlatformFormats } from './wiring.js'
 
 /** Options by which a platform adapts the program. */
@@ -37,7 +37,7 @@
   if (path === undefined) return command.error('missing settings file: name it with --settings FILE', { exitCode: EXIT_INVALID_SETTINGS })
   let usable: UsableSettings
   try {
-    usable = check ? { settings: readSettings(path), leftOut: [] } : readUsableSettings(path)
+    usable = check ? { settings: readSettings(path), leftOut: [] } : await awaitSettings(path)
   } catch (error) {
     process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`)
     process.exitCode = EXIT_INVALID_SETTINGS
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -1,6 +1,7 @@
 /** Settings of one entry process, read from YAML. */
 import { readFileSync } from 'node:fs'
 import { isIPv4 } from 'node:net'
+import { setTimeout as pause } from 'node:timers/promises'
 import { parse } from 'yaml'
 import * as z from 'zod'
 import { InvalidSettings } from './errors.js'
@@ -146,6 +147,25 @@
   return usableSettings(readRaw(path))
 }
 
+/**
+ * Reads a settings file at the start of an entry. A file that is missing, empty or not valid may be being written at this moment, so it is
+ * read again for a short time.
+ */
+export async function awaitSettings (path: string): Promise<UsableSettings> {
+  for (const startedAt = performance.now(); ;) {
+    try {
+      return readUsableSettings(path)
+    } catch (error) {
+      if (performance.now() - startedAt >= MAX_WRITE_MS) throw error
+    }
+    await pause(READ_INTERVAL_MS)
+  }
+}
+
+/** Longer than a platform takes to replace a file, and short for whoever has mistyped a setting. */
+const MAX_WRITE_MS = 1000
+const READ_INTERVAL_MS = 25
+
 function readRaw (path: string): unknown {
   try {
     return parse(readFileSync(path, 'utf8'))
--- a/tests/platform.spec.ts
+++ b/tests/platform.spec.ts
@@ -233,6 +233,14 @@
     expect(settings.tolerances).to.include({ retryRatio: 0.2, retrySlack: 56, retryWindowSeconds: 10 })
   })
 
+  // Guards against an entry that starts on the first lines of a settings file and without its tolerances.
+  it('should have a settings template of which no part is taken for the whole', () => {
+    const text = filled(FIELDS).trimEnd()
+    for (let length = 0; length < text.length; length++) {
+      expect(() => checkSettings(parse(text.slice(0, length))), `${length} characters`).to.throw()
+    }
+  })
+
   it('should do without what a deployment does not state', () => {
     const { seeds, 'bounds.warmup_slack': slack, 'bounds.grace_s': grace, ...rest } = FIELDS
     expect([seeds, slack, grace]).to.have.length(3)
--- a/tests/settings.spec.ts
+++ b/tests/settings.spec.ts
@@ -5,10 +5,14 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { checkSettings, usableSettings } from '@gooseberryspan/entry'
+import { setTimeout as pause } from 'node:timers/promises'
+import { awaitSettings, checkSettings, usableSettings } from '@gooseberryspan/entry'
 
 const LEAST = { instance: 'west-1', zone: 'west', store: { url: 'http://127.0.0.1:1' } }
 const PROGRAM = new URL('../../packages/entry/dist/bin/entry.js', import.meta.url).pathname
+/** A platform that replaces a file takes less. */
+const WRITE_MS = 200
+
 describe('settings', () => {
   // Guards against an entry that ends at each start (code 2) because of a value that makes sense.
   for (const [title, changes] of [
@@ -65,6 +69,9 @@
 describe('settings file at a start', () => {
   const folder = mkdtempSync(join(tmpdir(), 'settings-'))
   const path = join(folder, 'entry.yaml')
+  const text = JSON.stringify({
+    ...LEAST, callers: { address: '127.0.0.1:0' }, peers: { address: '127.0.0.1:0' }, operators: { address: '127.0.0.1:0' }
+  })
   let child: ChildProcess | undefined
   let output = ''
 
@@ -82,6 +89,29 @@
     return once(child, 'exit')
   }
 
+  // Guards against an entry that ends because the platform replaces its settings file at the moment of a start.
+  for (const [title, content] of [
+    ['missing', undefined], ['empty', ''], ['half written', text.slice(0, text.length / 2)], ['lacking its last lines', 'instance: w\n']
+  ] as const) {
+    it(`should be read again when it is ${title}`, async () => {
+      if (content !== undefined) writeFileSync(path, content)
+      const reading = awaitSettings(path)
+      await pause(WRITE_MS)
+      writeFileSync(path, text)
+      expect((await reading).settings).to.include({ instance: 'west-1' })
+    })
+  }
+
+  it('should be awaited by an entry that starts', async () => {
+    const ended = start()
+    await pause(700)
+    writeFileSync(path, text)
+    while (!output.includes('"started"') && child!.exitCode === null) await pause(10)
+    expect(child!.exitCode).to.equal(null)
+    child!.kill('SIGTERM')
+    expect(await ended).to.deep.equal([0, null])
+  })
+
   it('should end the start with code 2 and a clear error when it stays wrong', async () => {
     writeFileSync(path, JSON.stringify({ ...LEAST, tolerances: { retryRatios: 1 } }))
     expect(await start()).to.deep.equal([2, null])
