Let further stop signals change nothing, and end with 0 when stopped during the start

Callers lost requests when a platform or a process group delivered two signals for one stop: the second SIGTERM or SIGINT ended the process at once. A SIGTERM during the start ended it by the signal, which reads as a crash.

StopSignals sets its handlers before the start. The first SIGTERM or SIGINT stops the entry, or ends with 0 a process that has not started; further ones are logged and ignored. The loader keeps both signals from ending the process before the handlers are set, as it does for SIGHUP.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -2,6 +2,7 @@
 import { Command } from 'commander'
 import { pino } from 'pino'
 import { logSink } from './reports/logSink.js'
+import { StopSignals } from './runtime/stopSignals.js'
 import { readSettings, type Settings } from './settings.js'
 import { startEntry, type PlatformFormats } from './wiring.js'
 
@@ -52,25 +53,14 @@
     process.exit(code)
   }
   process.on('SIGHUP', () => checkChangedSettings(settings, path, log))
+  const signals = new StopSignals({ log, end })
   const entry = await startEntry({ settings, log, record, formats, droppedLogLines: sink.dropped }).catch((error: unknown) => {
     log.fatal({ err: error }, 'entry could not start')
     return end(EXIT_FAILURE)
   })
   if (!entry) return
-  let stopping = false
-  const stop = async (signal: string): Promise<void> => {
-    log.info({ decision: 'signal', reason: signal })
-    if (stopping) {
-      log.error({ decision: 'stop-cut', open: entry.node.open })
-      return end(EXIT_FAILURE)
-    }
-    stopping = true
-    end(await entry.stop() ? 0 : EXIT_FAILURE)
-  }
-  process.on('SIGTERM', () => void stop('SIGTERM'))
-  process.on('SIGINT', () => void stop('SIGINT'))
+  signals.started({ open: () => entry.node.open, stop: () => entry.stop() })
   entry.ended.catch(async () => {
-    stopping = true
     await entry.stop()
     end(EXIT_FAILURE)
   })
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -57,7 +57,7 @@
   ended: Promise<void>
   /** Ports in use; where the settings say 0, the port that the system chose. */
   ports: { callers: number, peers: number, operators?: number, metrics?: number }
-  /** Stops gracefully. Resolves with whether all open requests could finish. */
+  /** Stops gracefully, once for all calls. Resolves with whether all open requests could finish. */
   stop (): Promise<boolean>
   /** Ends immediately, as in a crash. */
   crash (): void
@@ -206,6 +206,24 @@
     reports.close()
     await recorder?.close()
   }
+  let stopped: Promise<boolean> | undefined
+  const stop = async (): Promise<boolean> => {
+    const graceEndsAt = now() + settings.stop.graceSeconds * 1000
+    log.info({ decision: 'stopping', open: node.open })
+    node.handle({ kind: 'stop' })
+    await settlesWithin(hasLeft, graceEndsAt - EXIT_MARGIN_MS - now())
+    // A supervisor that gave up has stopped the ticker.
+    if (node.open > 0) node.handle({ kind: 'tick' })
+    // Slow callers still receive answers.
+    await settlesWithin(callerServer.answered(), graceEndsAt - EXIT_MARGIN_MS - now())
+    const cut = built.core.requests.brokenOff + callerServer.unanswered
+    built.core.invariants.check('stop-cuts-nothing', cut === 0, () => `${cut} requests at the stop limit`)
+    callerServer.cut()
+    peerServer.cut()
+    await settlesWithin(close(), graceEndsAt - now())
+    log.info({ decision: 'stopped', cut })
+    return cut === 0
+  }
   const ended = root.start()
   ended.catch(() => {})
   log.info({ decision: 'started', zone: settings.zone, ports, seed: built.head.seed })
@@ -215,20 +233,9 @@
     store,
     ended,
     ports,
-    stop: async () => {
-      const graceEndsAt = now() + settings.stop.graceSeconds * 1000
-      log.info({ decision: 'stopping', open: node.open })
-      node.handle({ kind: 'stop' })
-      await settlesWithin(hasLeft, graceEndsAt - EXIT_MARGIN_MS - now())
-      // Slow callers still receive answers.
-      await settlesWithin(callerServer.answered(), graceEndsAt - EXIT_MARGIN_MS - now())
-      const cut = built.core.requests.brokenOff + callerServer.unanswered
-      built.core.invariants.check('stop-cuts-nothing', cut === 0, () => `${cut} requests at the stop limit`)
-      callerServer.cut()
-      peerServer.cut()
-      await settlesWithin(close(), graceEndsAt - now())
-      log.info({ decision: 'stopped', cut })
-      return cut === 0
+    stop: () => {
+      stopped ??= stop()
+      return stopped
     },
     crash: () => {
       callerServer.cut()
--- a/utils/loader.cjs
+++ b/utils/loader.cjs
@@ -1,6 +1,6 @@
 // Starts the bundled entry with the V8 code cache from the build. A restart then compiles about half as much code.
-// By default a SIGHUP ends the process. The entry sets its own handler once it has read its settings.
-process.on('SIGHUP', () => {})
+// By default these signals end the process. They are delivered after the entry, once it has read its settings, has set its own handlers.
+for (const signal of ['SIGHUP', 'SIGTERM', 'SIGINT']) process.on(signal, () => {})
 
 const { existsSync, readFileSync } = require('node:fs')
 const { createRequire, wrap } = require('node:module')
