--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -14,7 +14,8 @@
 import { Roster } from './members/roster.js'
 import { WarmUp } from './members/warmUp.js'
 import { Cells } from './placement/cells.js'
-import { SchedulerHost, UNUSED_REPORT, type Tolerances } from './placement/schedulerHost.js'
+import { UNUSED_REPORT } from './placement/placementRequest.js'
+import { SchedulerHost, type Tolerances } from './placement/schedulerHost.js'
 import { ServerHolds } from './placement/serverHolds.js'
 import { ServerStatements } from './placement/serverStatements.js'
 import { shuffled, type Random } from './random.js'
@@ -83,6 +84,7 @@
   private readonly _warmUp = new WarmUp(MAX_ACTIVE_TICK_MS)
   private _now = 0
   private _hasExited = false
+  private _callerPortIsOpen = true
 
   constructor (options: EntryOptions) {
     this._options = options
@@ -163,7 +165,7 @@
     if (this._now > 0 && now - this._now > MIN_PAUSE_MS) this.requests.processResumed(now)
     this._now = Math.max(this._now, now)
     this._handleEvent(event, this._now)
-    if (this.phase === 'starting' && this.replication.hasAllTables && this.declarations.gateway) this._enterPhase('ready', this._now)
+    if (this.phase === 'starting' && this._canServe) this._enterPhase('ready', this._now)
     return this._outbox.take()
   }
 
@@ -203,6 +205,10 @@
     return { versions: this.replication.versions }
   }
 
+  private get _canServe (): boolean {
+    return this._callerPortIsOpen && this.replication.hasAllTables && this.declarations.gateway !== undefined
+  }
+
   private _handleEvent (event: Event, now: number): void {
     switch (event.kind) {
       case 'tick': return this._tick(now)
@@ -216,6 +222,7 @@
       case 'pulled': return event.state && this.replication.pulled(event.state, now)
       case 'table-read': return this.replication.tableRead(event.table, event.reading, now)
       case 'entries-found': return this._entriesFound(event.book, now)
+      case 'caller-port': return this._callerPortChanged(event.isOpen, now)
       case 'stop': return this._stop(now)
     }
   }
@@ -309,6 +316,11 @@
     this.replication.entriesExpected(entryCount, now)
   }
 
+  private _callerPortChanged (isOpen: boolean, now: number): void {
+    this._callerPortIsOpen = isOpen
+    if (!isOpen && this.phase === 'ready') this._enterPhase('starting', now)
+  }
+
   private _stop (now: number): void {
     if (!this.plannedStop.begin(now)) return
     this._enterPhase('leaving', now)
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,7 +1,8 @@
 /** Command-line program of an entry: settings, log, signals and exit codes. */
 import { Command } from 'commander'
 import { pino } from 'pino'
-import { logSink } from './reports/logSink.js'
+import { ProcessEnd } from './reports/processEnd.js'
+import { LogSink } from './reports/logSink.js'
 import { StopSignals } from './runtime/stopSignals.js'
 import { readSettings, type Settings } from './settings.js'
 import { startEntry, type PlatformFormats } from './wiring.js'
@@ -19,6 +20,8 @@
   record?: string
 }
 
+/** Signals that ask for nothing here, as log rotation may send them. By default they end the process, or start Node's inspector. */
+const IGNORED_SIGNALS: NodeJS.Signals[] = ['SIGUSR1', 'SIGUSR2', 'SIGALRM']
 const EXIT_FAILURE = 1
 const EXIT_INVALID_SETTINGS = 2
 
@@ -46,23 +49,21 @@
 }
 
 async function run (settings: Settings, path: string, record: string | undefined, formats: PlatformFormats | undefined): Promise<void> {
-  const sink = logSink(settings.log.mostBytes)
-  const log = pino({ level: settings.log.level, base: { logger: settings.instance } }, sink.stream)
-  const end = (code: number): void => {
-    sink.end()
-    process.exit(code)
-  }
+  const sink = new LogSink({ maxBytes: settings.log.mostBytes })
+  const log = pino({ level: settings.log.level, base: { logger: settings.instance } }, sink)
+  const end = new ProcessEnd({ log, sink })
   process.on('SIGHUP', () => checkChangedSettings(settings, path, log))
-  const signals = new StopSignals({ log, end })
-  const entry = await startEntry({ settings, log, record, formats, droppedLogLines: sink.dropped }).catch((error: unknown) => {
-    log.fatal({ err: error }, 'entry could not start')
-    return end(EXIT_FAILURE)
+  for (const signal of IGNORED_SIGNALS) process.on(signal, () => log.info({ decision: 'signal', reason: `${signal}: ignored` }))
+  const signals = new StopSignals({ log, end: (code, reason) => end.exit(code, reason) })
+  const entry = await startEntry({ settings, log, record, formats, droppedLogLines: () => sink.dropped }).catch((error: unknown) => {
+    end.exit(EXIT_FAILURE, 'entry could not start', error)
   })
   if (!entry) return
+  end.lastEvent = () => entry.node.lastEvent
   signals.started({ open: () => entry.node.open, stop: () => entry.stop() })
-  entry.ended.catch(async () => {
+  entry.ended.catch(async (error: unknown) => {
     await entry.stop()
-    end(EXIT_FAILURE)
+    end.exit(EXIT_FAILURE, 'supervisor gave up', error)
   })
 }
 
--- a/packages/entry/src/runtime/stopSignals.ts
+++ b/packages/entry/src/runtime/stopSignals.ts
@@ -12,7 +12,7 @@
 export interface StopSignalsOptions {
   log: Logger
   /** Ends the process. */
-  end: (code: number) => void
+  end: (code: number, reason: string) => void
 }
 
 const EXIT_CUT = 1
@@ -46,15 +46,14 @@
     log.info({ decision: 'signal', reason: signal, open })
     if (signal === 'SIGINT' && this._isRepeatedKeyPress()) {
       log.error({ decision: 'stop-cut', open })
-      return end(EXIT_CUT)
+      return end(EXIT_CUT, 'interrupted again')
     }
     if (this._stopping) return log.info({ decision: 'signal-ignored', reason: 'already stopping' })
     this._stopping = true
-    if (!this._entry) {
-      log.info({ decision: 'stopped', reason: 'before the start', cut: 0 })
-      return end(0)
-    }
-    void this._entry.stop().then((graceful) => end(graceful ? 0 : EXIT_CUT))
+    if (!this._entry) return end(0, 'stopped before the start')
+    void this._entry.stop().then((isComplete) => {
+      end(isComplete ? 0 : EXIT_CUT, isComplete ? 'stopped' : 'stopped at the end of the grace time')
+    })
   }
 
   private _isRepeatedKeyPress (): boolean {
--- a/tests/signals.spec.ts
+++ b/tests/signals.spec.ts
@@ -134,7 +134,7 @@
     const program = run(GRACE_S, ['--import', SIGNAL_AT_FIRST_LISTEN])
     const { code, signal, log } = await program.ended
     expect({ code, signal }).to.deep.equal({ code: 0, signal: null })
-    expect(log).to.include('before the start')
+    expect(log).to.include('stopped before the start')
   })
 
   // Guards against a stop whose end is counted in running time, so that SIGKILL comes first.
