Answer uploads that are unread at the end of a stop, and count what a stop refuses

A caller whose upload was half read at the end of the grace time lost its connection without an answer. What a stopping entry refused after its linger was neither logged nor counted, and an upload that could not end in time was read to its end before it was refused.

CallerListener decides on the head of a request, with the same rule as the core, and refuses unread uploads as not run when the entry closes. Each refusal is a decision `refused` with the reason `not-run: stopping`, as those of the core are.

The spec of the upload failed before with no byte received, that of the counter with no such counter; both pass.

--- a/packages/core/src/requests/request.ts
+++ b/packages/core/src/requests/request.ts
@@ -82,13 +82,18 @@
 /** The entry answers this long before the caller's deadline, so that the answer arrives in time. */
 const RESPONSE_TRANSIT_MS = 4
 
+/** Time at which the caller's deadline or the route's timeout ends a request that arrives now. */
+export function expiryOf ({ route, deadlineMs }: RequestSpec, now: number): number {
+  return now + Math.min(deadlineMs - RESPONSE_TRANSIT_MS, route.timeoutMs)
+}
+
 export function newRequest (spec: RequestSpec, cell: string, now: number): OpenRequest {
-  const { route, deadlineMs } = spec
+  const { route } = spec
   return {
     spec,
     arrivedAt: now,
     targetAt: now + route.targetMs,
-    expiresAt: now + Math.min(deadlineMs - RESPONSE_TRANSIT_MS, route.timeoutMs),
+    expiresAt: expiryOf(spec, now),
     asks: new Map(),
     attempts: new Map(),
     sentTo: [],
--- a/packages/entry/src/caller/callerListener.ts
+++ b/packages/entry/src/caller/callerListener.ts
@@ -1,8 +1,9 @@
 /** Request handler of the port for callers. */
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { FailureOutcome, RequestSpec } from '@gooseberryspan/core'
+import { expiryOf, type FailureOutcome, type RequestSpec } from '@gooseberryspan/core'
 import { BadRequest } from '../errors.js'
+import { singleHeader } from '../headers.js'
 import type { EntryNode } from '../runtime/entryNode.js'
 import { readBody } from './body.js'
 import { Exchange } from './exchange.js'
@@ -17,6 +18,8 @@
   closeAfter: (request: IncomingMessage) => boolean
 }
 
+/** Reason of a refusal by a stopping entry, as for those of the core. */
+const STOPPING = 'not-run: stopping'
 const STOPPING_RETRY_AFTER_S = '0.1'
 const NO_CONFIGURATION_RETRY_AFTER_S = '0.25'
 
@@ -24,6 +27,8 @@
 export class CallerListener {
   private readonly _options: CallerListenerOptions
   private readonly _openRequests = new WeakMap<Socket, Set<number>>()
+  /** Refuse the requests whose bodies have not been read yet. */
+  private readonly _unread = new Set<() => void>()
 
   constructor (options: CallerListenerOptions) {
     this._options = options
@@ -33,7 +38,11 @@
     const { node } = this._options
     response.on('error', () => {})
     const reject = (error: unknown): void => rejectBadRequest(response, error, node, () => this._isClosing(request))
-    if (!node.acceptsRequests) return reject(new BadRequest(503, 'entry', 'this entry is stopping'))
+    const refuse = (): void => {
+      node.report({ decision: 'refused', request: singleHeader(request.headers, node.dialect.headers.requestId), reason: STOPPING })
+      reject(new BadRequest(503, 'entry', 'this entry is stopping'))
+    }
+    if (!node.acceptsRequests) return refuse()
     const startedAt = node.now
     let spec: RequestSpec
     try {
@@ -41,18 +50,26 @@
     } catch (error) {
       return reject(error)
     }
+    if (!node.core.plannedStop.leavesTimeFor(expiryOf(spec, startedAt))) return refuse()
+    this._unread.add(refuse)
     const mostBytes = node.core.declarations.limits!.bodyBytes
-    readBody(request, { holdBytes: this._options.holdBytes, mostBytes }).then((body) => {
+    readBody(request, { holdBytes: this._options.holdBytes, mostBytes }).finally(() => this._unread.delete(refuse)).then((body) => {
       spec.replayable = body.rest === undefined
       spec.bodyBytes = body.length
       spec.deadlineMs -= node.now - startedAt
-      if (request.socket.destroyed) return
+      if (request.socket.destroyed || response.headersSent) return
       const exchange = new Exchange({ request, response, spec, body, dialect: node.dialect, isClosing: () => this._isClosing(request) })
       this._trackRequest(request, response, spec.id)
       node.acceptRequest(exchange)
     }).catch(reject)
   }
 
+  /** Refuses the requests whose bodies have not been read yet. */
+  refuseUnread (): void {
+    for (const refuse of [...this._unread]) refuse()
+    this._unread.clear()
+  }
+
   private _isClosing (request: IncomingMessage): boolean {
     return this._options.node.closing && this._options.closeAfter(request)
   }
--- a/packages/entry/src/runtime/entryNode.ts
+++ b/packages/entry/src/runtime/entryNode.ts
@@ -132,6 +132,11 @@
     this.handle({ kind: 'request-arrived', request: exchange.spec })
   }
 
+  /** Counts and logs a decision that was made outside the core. */
+  report (line: DecisionLine): void {
+    this._reportDecision(line)
+  }
+
   callerDisconnected (request: number): void {
     if (this._exchanges.has(request)) this.handle({ kind: 'caller-left', request })
   }
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -255,7 +255,9 @@
     await settlesWithin(hasLeft, graceEndsAt - EXIT_MARGIN_MS - now())
     // A supervisor that gave up has stopped the ticker.
     if (node.open > 0) node.handle({ kind: 'tick' })
-    // Slow callers still receive answers.
+    // Slow callers still send their requests and receive answers.
+    await settlesWithin(callerServer.answered(), graceEndsAt - STOP_MARGIN_MS - now())
+    components.callers!.refuseUnread()
     await settlesWithin(callerServer.answered(), graceEndsAt - EXIT_MARGIN_MS - now())
     const cut = built.core.requests.brokenOff + callerServer.unanswered
     built.core.invariants.check('stop-cuts-nothing', cut === 0, () => `${cut} requests at the stop limit`)
--- a/tests/stopping.spec.ts
+++ b/tests/stopping.spec.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai'
-import { Deployment, REQUEST_ID, send, smallDocument, useDeployment, waitUntil } from './fixtures/deployment.js'
+import { Deployment, openRaw, REQUEST_ID, send, smallDocument, useDeployment, waitUntil } from './fixtures/deployment.js'
 
 const LONG = smallDocument({
   kinds: [
@@ -65,4 +65,39 @@
     expect(await deployment.entries[0]!.stop()).to.equal(true)
     expect(performance.now() - stoppedAt).to.be.below(250)
   })
+
+  // Guards against an upload whose connection closes without an answer because its caller is slow.
+  it('should refuse an upload that has not been read at the end of the grace time of a stop', async () => {
+    await deployment.start(smallDocument(), [{}], ['a', 'a'])
+    const upload = `POST /orders HTTP/1.1\r\nhost: x\r\n${REQUEST_ID}: upload\r\ncontent-length: 100\r\n\r\nhalf`
+    const { ended } = openRaw(deployment.portOf(0), upload)
+    await pause(100)
+    const stopped = deployment.entries[0]!.stop()
+    const answer = await ended
+    expect(answer).to.match(/^HTTP\/1\.1 503 /)
+    expect(answer).to.include('gooseberryspan-outcome: not-run').and.include('connection: close')
+    expect(await stopped).to.equal(true)
+  })
+
+  it('should take an upload that began before a stop and is read in time', async () => {
+    await deployment.start(smallDocument(), [{}], ['a', 'a'])
+    const upload = `POST /orders HTTP/1.1\r\nhost: x\r\n${DEADLINE}: 1200\r\ncontent-length: 8\r\n\r\nhalf`
+    const { socket, ended } = openRaw(deployment.portOf(0), upload)
+    await pause(100)
+    const stopped = deployment.entries[0]!.stop()
+    await pause(200)
+    socket.write('rest')
+    expect(await ended).to.match(/^HTTP\/1\.1 200 /)
+    expect(await stopped).to.equal(true)
+  })
+
+  it('should count what it refuses while it stops', async () => {
+    await deployment.start(LONG, [{}], ['a', 'a'])
+    const entry = deployment.entries[0]!
+    const stopped = entry.stop()
+    await send(deployment.portOf(0), 'POST', '/orders')
+    const { text } = await send(entry.ports.metrics!, 'GET', '/metrics')
+    expect(text).to.include('gooseberryspan_decisions_total{decision="refused",reason="not-run: stopping"} 1')
+    expect(await stopped).to.equal(true)
+  })
 })
