--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -3,6 +3,7 @@
 import { pino } from 'pino'
 import { ProcessEnd } from './reports/processEnd.js'
 import { LogSink } from './reports/logSink.js'
+import { StopSignals } from './runtime/stopSignals.js'
 import { awaitSettings, readSettings, readUsableSettings, type Settings, type UsableSettings } from './settings.js'
 import { startEntry, type PlatformFormats } from './wiring.js'
 
@@ -56,26 +57,14 @@
   for (const reason of leftOut) log.warn({ decision: 'setting-left-out', reason })
   process.on('SIGHUP', () => checkChangedSettings(settings, path, log))
   for (const signal of IGNORED_SIGNALS) process.on(signal, () => log.info({ decision: 'signal', reason: `${signal}: ignored` }))
+  const signals = new StopSignals({ log, end: (code, reason) => end.exit(code, reason) })
   const entry = await startEntry({ settings, log, record, formats, droppedLogLines: () => sink.dropped }).catch((error: unknown) => {
     end.exit(EXIT_FAILURE, 'entry could not start', error)
   })
   if (!entry) return
   end.lastEvent = () => entry.node.lastEvent
-  let stopping = false
-  const stop = async (signal: string): Promise<void> => {
-    log.info({ decision: 'signal', reason: signal })
-    if (stopping) {
-      log.error({ decision: 'stop-cut', open: entry.node.open })
-      return end.exit(EXIT_FAILURE, 'second signal')
-    }
-    stopping = true
-    const isComplete = await entry.stop()
-    end.exit(isComplete ? 0 : EXIT_FAILURE, isComplete ? 'stopped' : 'stopped at the end of the grace time')
-  }
-  process.on('SIGTERM', () => void stop('SIGTERM'))
-  process.on('SIGINT', () => void stop('SIGINT'))
+  signals.started({ open: () => entry.node.open, stop: () => entry.stop() })
   entry.ended.catch(async (error: unknown) => {
-    stopping = true
     await entry.stop()
     end.exit(EXIT_FAILURE, 'supervisor gave up', error)
   })
