Release the responses of a closed connection that wait for another one

Callers and operators saw: a process whose memory grows with each connection that is closed while pipelined requests have no answer, and a stop that waits for its whole limit after one of them. Cause: the listener removed a response when Node closed it; Node closes only the first response of a connection, never those queued behind it. Change: the listener keeps the responses of each connection and releases them when it closes.

--- a/packages/entry/src/runtime/httpListener.ts
+++ b/packages/entry/src/runtime/httpListener.ts
@@ -18,7 +18,7 @@
   port: number
   /** Most connections that callers may hold; above it, idle ones are closed and new ones refused. Unlimited if absent. */
   maxConnections?: number
-  /** Called for each connection that was closed because of `maxConnections`, and when the system refused to accept one. */
+  /** Called for each connection that was closed because of a limit, and when the system refused to accept one. */
   onConnectionLost?: (loss: ConnectionLoss | 'accept-failed') => void
   /** Called with the error code and the caller's address when a request could not be read in time or parsed, and was rejected. */
   onRejected?: (code: string, caller: string) => void
@@ -38,6 +38,8 @@
   closing: boolean
   /** The request that was read last. */
   lastRequest?: IncomingMessage
+  /** Responses that the caller has not taken yet. */
+  readonly responses: Set<ServerResponse>
 }
 
 /** Limits memory use. The request handlers enforce lower header limits and answer with a status of their own. */
@@ -60,6 +62,7 @@
   private readonly _connections = new WeakMap<Socket, ConnectionState>()
   /** Responses that callers have not taken yet. */
   private readonly _openResponses = new Set<ServerResponse>()
+  private readonly _answeredWaiters: Array<() => void> = []
   private readonly _limit: ConnectionLimit<Socket>
 
   constructor (listener: RequestListener, options: ListenerOptions) {
@@ -68,7 +71,9 @@
       maxConnections: options.maxConnections ?? Infinity, onClosed: (loss) => options.onConnectionLost?.(loss)
     })
     this._server = createServer({
-      maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS
+      maxHeaderSize: MAX_HEADER_BYTES,
+      requestTimeout: 0,
+      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS
     }, (request, response) => {
       const { socket } = request
       const connection = this._stateOf(socket)
@@ -133,8 +138,7 @@
   /** Resolves when callers have taken all responses to the requests that have been read. */
   async answered (): Promise<void> {
     while (this._openResponses.size > 0) {
-      const [response] = this._openResponses
-      await new Promise((resolve) => response!.once('close', resolve))
+      await new Promise<void>((resolve) => this._answeredWaiters.push(resolve))
     }
   }
 
@@ -149,7 +153,11 @@
 
   private _admit (socket: Socket): void {
     if (!this._limit.add(socket)) return
-    socket.once('close', () => this._limit.remove(socket))
+    // Node does not close a response that waits for an earlier one on its connection.
+    socket.once('close', () => {
+      this._limit.remove(socket)
+      for (const response of this._stateOf(socket).responses) this._endResponse(response)
+    })
   }
 
   /** Some versions of Node report here that a connection could not be accepted, for example for want of a descriptor. */
@@ -165,7 +173,11 @@
     connection.lastRequest = request
     this._limit.markBusy(request.socket)
     this._openResponses.add(response)
-    response.once('close', () => this._openResponses.delete(response))
+    connection.responses.add(response)
+    response.once('close', () => {
+      connection.responses.delete(response)
+      this._endResponse(response)
+    })
     response.once('finish', () => {
       connection.unanswered -= 1
       if (connection.unanswered === 0) this._limit.markIdle(request.socket)
@@ -173,10 +185,15 @@
     })
   }
 
+  private _endResponse (response: ServerResponse): void {
+    this._openResponses.delete(response)
+    for (const resolve of this._answeredWaiters.splice(0)) resolve()
+  }
+
   private _stateOf (socket: Socket): ConnectionState {
     let connection = this._connections.get(socket)
     if (!connection) {
-      connection = { requestsRead: 0, unanswered: 0, closing: false }
+      connection = { requestsRead: 0, unanswered: 0, closing: false, responses: new Set() }
       this._connections.set(socket, connection)
     }
     return connection
