Bound what an entry holds for callers: bodies, answers, heads and open requests

Callers and operators saw: a process that grows beyond its memory and is killed by the machine, or that answers nothing for many seconds, readiness included, while a few callers press. Cause: only single requests had limits. 400 uploads just under 1 MiB, 1,900 heads of 250 KB without an end, answers that callers don't take and thousands of pipelined requests each add up without a bound, and a body without an end kept its memory for ever. Change: one budget (HoldBudget) for bodies and answers of all callers, a quarter of the instance's memory (limits.memoryMb from the template, or what the system states); beyond it a body is refused at once with 503 and Retry-After, not run, and an answer is streamed instead of buffered. At most 1,000 open requests, 32 of one connection; behind these a connection is closed after its answers. The longest head follows from the memory and the connections (23 KB at 350 MB and 4,100 descriptors, at least 16 KiB). A body has to arrive before the deadline (408). A connection whose caller takes nothing of an answer for 15 s is closed. A streamed answer without a caller ends at the server too. Two gauges, one log line a second.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -40,7 +40,7 @@
     folder('core/src/placement', [...SHARED, 'budgets', 'configuration', 'discovery', 'members']),
     folder('core/src/requests', [...SHARED, 'configuration', 'discovery', 'members', 'placement']),
     folder('entry/src/backend', ['caller/exchange', 'dialect', 'errors', 'headers', 'pendingInput', 'serverStatement']),
-    folder('entry/src/caller', ['backend/answer', 'dialect', 'errors', 'headers', 'runtime']),
+    folder('entry/src/caller', ['backend/answer', 'dialect', 'errors', 'headers', 'pendingInput', 'runtime']),
     folder('entry/src/directory', ['dialect', 'runtime']),
     folder('entry/src/operators', ['caller/body', 'errors', 'runtime']),
     folder('entry/src/peers', ['errors']),
--- a/packages/entry/src/backend/answer.ts
+++ b/packages/entry/src/backend/answer.ts
@@ -22,15 +22,23 @@
   broken (error: Error): void
 }
 
-/** Reads an answer up to `holdBytes` and checks that it is complete. A truncated answer is reported as broken. */
-export function readAnswer (message: IncomingMessage, holdBytes: number, listener: AnswerListener): void {
+/** Limits on the part of an answer that is buffered. */
+export interface AnswerLimits {
+  /** Larger answers are not buffered completely, in bytes. */
+  holdBytes: number
+  /** Returns whether there is memory for further bytes. Without it, the rest of the answer is streamed. */
+  take: (bytes: number) => boolean
+}
+
+/** Reads an answer as far as the limits allow and checks that it is complete. A truncated answer is reported as broken. */
+export function readAnswer (message: IncomingMessage, { holdBytes, take }: AnswerLimits, listener: AnswerListener): void {
   const parts: Buffer[] = []
   let size = 0
   const answer = (): Answer => ({ status: message.statusCode ?? 502, headers: message.rawHeaders, buffered: Buffer.concat(parts) })
   const onData = (part: Buffer): void => {
     parts.push(part)
     size += part.length
-    if (size <= holdBytes) return
+    if (take(part.length) && size <= holdBytes) return
     message.pause()
     stop()
     listener.large({ ...answer(), rest: message })
--- a/packages/entry/src/backend/backendClient.ts
+++ b/packages/entry/src/backend/backendClient.ts
@@ -134,9 +134,13 @@
     if (refusal) return discardAnswer(message, call, () => end(refusal, status))
     const outcome = this._outcomeOf(message, exchange, status)
     if (outcome === 'lost') return discardAnswer(message, call, () => end('lost', status))
-    readAnswer(message, this._options.holdBytes, {
+    readAnswer(message, { holdBytes: this._options.holdBytes, take: (bytes) => exchange.hold.take(bytes) }, {
       whole: (answer) => end(outcome, status, answer),
-      large: (answer) => listener.large(answer, (whole) => end(whole ? outcome : 'lost', status)),
+      large: (answer) => listener.large(answer, (whole) => {
+        // The rest has no reader any more.
+        if (!whole) call.destroy()
+        end(whole ? outcome : 'lost', status)
+      }),
       broken: () => {
         call.destroy()
         end('lost', status)
--- a/packages/entry/src/caller/body.ts
+++ b/packages/entry/src/caller/body.ts
@@ -1,6 +1,7 @@
 /** Reads request bodies. A small body is buffered completely, of a large one only the beginning. */
 import type { IncomingMessage } from 'node:http'
 import { BadRequest } from '../errors.js'
+import { InputTimeout } from '../pendingInput.js'
 
 /** A request body. */
 export interface Body {
@@ -18,11 +19,15 @@
   holdBytes: number
   /** Larger bodies are rejected. */
   mostBytes: number
+  /** Longest time until the body is buffered, in milliseconds; unlimited if absent. */
+  timeoutMs?: number
+  /** Returns whether there is memory for further bytes; always if absent. */
+  take?: (bytes: number) => boolean
 }
 
 const EMPTY_BODY = Buffer.alloc(0)
 
-/** Reads a body up to `holdBytes`. Rejects with `BadRequest` if the body is too large or truncated. */
+/** Reads a body up to `holdBytes`. Rejects with `BadRequest` if the body is too large or truncated, is late, or has no memory left. */
 export function readBody (message: IncomingMessage, limits: BodyLimits): Promise<Body> {
   const declared = message.headers['content-length']
   const length = declared === undefined ? undefined : Number(declared)
@@ -45,6 +50,7 @@
   private readonly _limits: BodyLimits
   private readonly _length: number | undefined
   private readonly _parts: Buffer[] = []
+  private readonly _timeout: InputTimeout | undefined
   private _size = 0
   private _resolve!: (body: Body) => void
   private _reject!: (error: Error) => void
@@ -57,18 +63,19 @@
       this._resolve = resolve
       this._reject = reject
     })
+    if (limits.timeoutMs !== undefined) this._timeout = new InputTimeout(limits.timeoutMs, this._onTimeout)
     message.on('data', this._onData)
     message.on('end', this._onEnd)
     message.on('close', this._onClose)
   }
 
   private readonly _onData = (part: Buffer): void => {
+    if (this._limits.take?.(part.length) === false) {
+      return this._fail(new BadRequest(503, 'entry', 'this entry has no memory left for the body'))
+    }
     this._parts.push(part)
     this._size += part.length
-    if (this._size > this._limits.mostBytes) {
-      this._stop()
-      return this._reject(bodyTooLarge(this._limits.mostBytes))
-    }
+    if (this._size > this._limits.mostBytes) return this._fail(bodyTooLarge(this._limits.mostBytes))
     if (this._size <= this._limits.holdBytes) return
     this._stop()
     this._message.pause()
@@ -80,12 +87,18 @@
     this._resolve({ buffered: Buffer.concat(this._parts), length: this._size })
   }
 
-  private readonly _onClose = (): void => {
+  private readonly _onClose = (): void => this._fail(new BadRequest(400, 'body', 'the body was cut off'))
+
+  private readonly _onTimeout = (): void => this._fail(new BadRequest(408, 'body', 'the body did not arrive before the deadline'))
+
+  private _fail (error: BadRequest): void {
     this._stop()
-    this._reject(new BadRequest(400, 'body', 'the body was cut off'))
+    this._parts.length = 0
+    this._reject(error)
   }
 
   private _stop (): void {
+    this._timeout?.clear()
     this._message.off('data', this._onData)
     this._message.off('end', this._onEnd)
     this._message.off('close', this._onClose)
--- a/packages/entry/src/caller/callerListener.ts
+++ b/packages/entry/src/caller/callerListener.ts
@@ -6,6 +6,7 @@
 import type { EntryNode } from '../runtime/entryNode.js'
 import { readBody } from './body.js'
 import { Exchange } from './exchange.js'
+import type { Hold, HoldBudget, HoldRefusal } from './holdBudget.js'
 import { resolveRequest } from './resolve.js'
 
 /** Options of a `CallerListener`. */
@@ -13,6 +14,7 @@
   node: EntryNode
   /** Bodies up to this size are buffered, in bytes; larger ones are streamed. */
   holdBytes: number
+  budget: HoldBudget
   /** Whether the connection of a request is to be closed after the response to it, if this entry is stopping. */
   closeAfter: (request: IncomingMessage) => boolean
 }
@@ -24,6 +26,7 @@
 export class CallerListener {
   private readonly _options: CallerListenerOptions
   private readonly _openRequests = new WeakMap<Socket, Set<number>>()
+  private readonly _holds = new WeakMap<Socket, Set<Hold>>()
 
   constructor (options: CallerListenerOptions) {
     this._options = options
@@ -34,6 +37,8 @@
     response.on('error', () => {})
     const reject = (error: unknown): void => rejectBadRequest(response, error, node, () => this._isClosing(request))
     if (!node.acceptsRequests) return reject(new BadRequest(503, 'entry', 'this entry is stopping'))
+    const hold = this._openHold(request, response)
+    if (typeof hold === 'string') return this._refuseOpening(hold, request, response)
     const startedAt = node.now
     let spec: RequestSpec
     try {
@@ -42,12 +47,14 @@
       return reject(error)
     }
     const mostBytes = node.core.declarations.limits!.bodyBytes
-    readBody(request, { holdBytes: this._options.holdBytes, mostBytes }).then((body) => {
+    const { holdBytes } = this._options
+    readBody(request, { holdBytes, mostBytes, timeoutMs: spec.deadlineMs, take: (bytes) => hold.take(bytes) }).then((body) => {
       spec.replayable = body.rest === undefined
       spec.bodyBytes = body.length
       spec.deadlineMs -= node.now - startedAt
       if (request.socket.destroyed) return
-      const exchange = new Exchange({ request, response, spec, body, dialect: node.dialect, isClosing: () => this._isClosing(request) })
+      const isClosing = (): boolean => this._isClosing(request)
+      const exchange = new Exchange({ request, response, spec, body, hold, dialect: node.dialect, isClosing })
       this._trackRequest(request, response, spec.id)
       node.acceptRequest(exchange)
     }).catch(reject)
@@ -57,6 +64,36 @@
     return this._options.node.closing && this._options.closeAfter(request)
   }
 
+  /** Of a connection with too many open requests, nothing more is read: the caller sends elsewhere what follows. */
+  private _refuseOpening (refusal: HoldRefusal, request: IncomingMessage, response: ServerResponse): void {
+    const { node, closeAfter } = this._options
+    const isClosing = (): boolean => refusal === 'requests-of-connection' ? closeAfter(request) : this._isClosing(request)
+    rejectBadRequest(response, new BadRequest(503, 'entry', 'too many requests are open'), node, isClosing)
+  }
+
+  /** Holds memory for a request until its answer has been taken or its connection has closed. */
+  private _openHold ({ socket }: IncomingMessage, response: ServerResponse): Hold | HoldRefusal {
+    const hold = this._options.budget.open(socket)
+    if (typeof hold === 'string') return hold
+    let holds = this._holds.get(socket)
+    if (!holds) {
+      holds = new Set()
+      this._holds.set(socket, holds)
+      const openHolds = holds
+      // Node does not close a response that waits for an earlier one on its connection.
+      socket.once('close', () => {
+        for (const each of openHolds) each.release()
+      })
+    }
+    const openHolds = holds
+    openHolds.add(hold)
+    response.once('close', () => {
+      openHolds.delete(hold)
+      hold.release()
+    })
+    return hold
+  }
+
   /** When a caller closes its connection, reports each request that is still open on it as abandoned. */
   private _trackRequest (request: IncomingMessage, response: ServerResponse, id: number): void {
     const { socket } = request
@@ -87,7 +124,7 @@
   if (outcome !== undefined) headers[outcome] = stated
   if (reason !== undefined) headers[reason] = 'bad-request'
   if (bad.status === 503) headers[retryAfter] = node.closing ? STOPPING_RETRY_AFTER_S : NO_CONFIGURATION_RETRY_AFTER_S
-  if (bad.status === 413 || isClosing()) headers.connection = 'close'
+  if (bad.status === 408 || bad.status === 413 || isClosing()) headers.connection = 'close'
   response.writeHead(bad.status, headers)
   response.end(text)
 }
--- a/packages/entry/src/caller/exchange.ts
+++ b/packages/entry/src/caller/exchange.ts
@@ -5,6 +5,7 @@
 import type { Dialect } from '../dialect.js'
 import { forwardedHeaders, singleHeader } from '../headers.js'
 import type { Body } from './body.js'
+import type { Hold } from './holdBudget.js'
 
 /** Options of an `Exchange`. */
 export interface ExchangeOptions {
@@ -12,6 +13,8 @@
   response: ServerResponse
   spec: RequestSpec
   body: Body
+  /** The memory that is held for the request. */
+  hold: Hold
   dialect: Dialect
   /** Whether the caller's connection should be closed, because this entry is stopping. */
   isClosing: () => boolean
@@ -23,6 +26,7 @@
 export class Exchange {
   readonly spec: RequestSpec
   readonly body: Body
+  readonly hold: Hold
   readonly method: string
   readonly path: string
   readonly rawHeaders: string[]
@@ -36,6 +40,7 @@
     this._options = options
     this.spec = options.spec
     this.body = options.body
+    this.hold = options.hold
     this.method = options.request.method ?? 'GET'
     this.path = options.request.url ?? '/'
     this.rawHeaders = options.request.rawHeaders
--- a/packages/entry/src/reports/prometheusMetrics.ts
+++ b/packages/entry/src/reports/prometheusMetrics.ts
@@ -15,6 +15,8 @@
   peerMessages: () => number
   callerConnections: () => number
   connectionsClosed: () => number
+  heldBytes: () => number
+  notHeld: () => number
 }
 
 const REQUEST_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8]
@@ -56,6 +58,8 @@
     this._addGauge('peer_messages', 'Messages to other entries since start.', source.peerMessages)
     this._addGauge('caller_connections', 'Open connections of callers.', source.callerConnections)
     this._addGauge('connections_closed', 'Connections closed or refused since start to save descriptors.', source.connectionsClosed)
+    this._addGauge('held_bytes', 'Bytes of bodies and answers held for callers.', source.heldBytes)
+    this._addGauge('not_held', 'Requests and answers not held since start, for want of memory or since too many are open.', source.notHeld)
     this._addGauge('resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
   }
 
--- a/packages/entry/src/runtime/httpListener.ts
+++ b/packages/entry/src/runtime/httpListener.ts
@@ -18,8 +18,10 @@
   port: number
   /** Most connections that callers may hold; above it, idle ones are closed and new ones refused. Unlimited if absent. */
   maxConnections?: number
+  /** Longest head of a request, in bytes; enough for the entry's own interfaces if absent. */
+  maxHeaderBytes?: number
   /** Called for each connection that was closed because of a limit, and when the system refused to accept one. */
-  onConnectionLost?: (loss: ConnectionLoss | 'accept-failed') => void
+  onConnectionLost?: (loss: ConnectionLoss | 'accept-failed' | 'answer-not-taken') => void
   /** Called with the error code and the caller's address when a request could not be read in time or parsed, and was rejected. */
   onRejected?: (code: string, caller: string) => void
   /** Called when a request is dropped because it was read after its connection had been rejected or announced to close. */
@@ -43,7 +45,9 @@
 }
 
 /** Limits memory use. The request handlers enforce lower header limits and answer with a status of their own. */
-const MAX_HEADER_BYTES = 262_144
+const DEFAULT_MAX_HEADER_BYTES = 16_384
+/** A connection is closed if its caller takes no byte of an answer for so long. */
+const ANSWER_TIMEOUT_MS = 15_000
 const CONNECTION_CHECK_INTERVAL_MS = 250
 /** How long a rejected connection stays open, so that the caller can read the rejection before the connection is closed. */
 const REJECTED_LINGER_MS = 1000
@@ -71,7 +75,7 @@
       maxConnections: options.maxConnections ?? Infinity, onClosed: (loss) => options.onConnectionLost?.(loss)
     })
     this._server = createServer({
-      maxHeaderSize: MAX_HEADER_BYTES,
+      maxHeaderSize: options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
       requestTimeout: 0,
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS
     }, (request, response) => {
@@ -89,7 +93,8 @@
     this._server.on('connection', (socket) => this._admit(socket))
     this._server.on('error', () => this._handleAcceptError())
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => this._handleError(error, socket as Socket))
-    this._server.on('timeout', (socket) => this._closeIdle(socket))
+    this._server.timeout = ANSWER_TIMEOUT_MS
+    this._server.on('timeout', (socket) => this._handleTimeout(socket))
     this.setTimeouts(options)
   }
 
@@ -223,6 +228,14 @@
     socket.once('close', () => clearTimeout(timer))
   }
 
+  /** A connection without input or output for a while waits for a server, or its caller does not take the answer, or it is idle. */
+  private _handleTimeout (socket: Socket): void {
+    if (this._stateOf(socket).unanswered === 0) return this._closeIdle(socket)
+    if (socket.writableLength === 0) return
+    this._options.onConnectionLost?.('answer-not-taken')
+    socket.destroy()
+  }
+
   private _closeIdle (socket: Socket): void {
     const { bytesRead } = socket
     afterPendingInput(() => {
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -19,6 +19,9 @@
     of: optional(z.number().positive().max(1024).default(1)).describe('How fast that core is, against an ordinary one.')
   }).prefault({}),
   limits: z.strictObject({
+    memoryMb: optional(z.number().min(64).optional()).describe(
+      'Memory that this instance may use, in MiB, if less than the machine has.'
+    ),
     descriptors: optional(z.int().min(1).optional()).describe(
       'Descriptors that this instance may open, if fewer than the system allows its processes.'
     )
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -12,6 +12,7 @@
 import { BackendClient } from './backend/backendClient.js'
 import { ProbeClient } from './backend/probeClient.js'
 import { CallerListener } from './caller/callerListener.js'
+import { HoldBudget } from './caller/holdBudget.js'
 import type { Dialect } from './dialect.js'
 import { DirectoryListener } from './directory/directoryListener.js'
 import { operatorListener } from './operators/operatorListener.js'
@@ -23,6 +24,7 @@
 import { EntryNode, type DecisionObserver } from './runtime/entryNode.js'
 import { DescriptorBudget, readDescriptorLimit, type ListenerPort } from './runtime/descriptorBudget.js'
 import { EventRecorder } from './runtime/eventRecorder.js'
+import { MemoryBudget, readMemoryLimit } from './runtime/memoryBudget.js'
 import { HttpListener, type ListenerOptions } from './runtime/httpListener.js'
 import { listenerProcess, Ticker } from './runtime/processes.js'
 import { parseHostPort, type Settings } from './settings.js'
@@ -77,9 +79,13 @@
 const REGISTRATION_LAPSE_MS = 2300
 
 const CONNECTION_LOST = 'connection-closed'
+const NOT_HELD = 'not-held'
+/** Bounds the processor time for the requests that wait for a server. */
+const MAX_OPEN_REQUESTS = 1000
+const MAX_OPEN_REQUESTS_PER_CONNECTION = 32
 
 /** Options that limit the connections of one port. */
-type ConnectionLimits = Pick<ListenerOptions, 'maxConnections' | 'onConnectionLost'>
+type ConnectionLimits = Required<Pick<ListenerOptions, 'maxConnections' | 'onConnectionLost'>>
 
 /** What the reporters read. */
 interface ReportSources {
@@ -88,6 +94,7 @@
   datagrams: DatagramPort
   callerServer: HttpListener
   losses: LossReport
+  budget: HoldBudget
   limits: ConnectionLimits
 }
 
@@ -103,14 +110,23 @@
   const callerAddress = parseHostPort(settings.callers.address)
   const losses = new LossReport({ log, now })
   const limits = connectionLimits(settings, losses)
+  const memory = new MemoryBudget(readMemoryLimit(settings.limits.memoryMb))
+  const budget = new HoldBudget({
+    maxBytes: memory.heldBytes,
+    maxRequests: MAX_OPEN_REQUESTS,
+    maxRequestsPerConnection: MAX_OPEN_REQUESTS_PER_CONNECTION,
+    onRefused: (reason) => losses.record(NOT_HELD, reason)
+  })
+  const callerLimits = limits('callers')
+  const maxHeaderBytes = memory.headerBytesFor(callerLimits.maxConnections)
   const onRejected = (reason: string, caller: string): void => log.info({ decision: 'malformed-request', reason, caller })
   const onError = (error: unknown): void => log.error({ err: error }, 'request failed with an internal error')
-  const onDropped = (caller: string): void => log.info({ decision: 'request-dropped', reason: 'connection-closing', caller })
+  const onDropped = (): void => losses.record('request-dropped', 'connection-closing')
   const callerServer = new HttpListener((request, response) => {
     const isDirectoryRequest = settings.directory.address === undefined && components.directory!.serves(request.url ?? '/')
     const { listener } = isDirectoryRequest ? components.directory! : components.callers!
     listener(request, response)
-  }, { ...callerAddress, ...DEFAULT_TIMEOUTS, ...limits('callers'), onRejected, onDropped, onError })
+  }, { ...callerAddress, ...DEFAULT_TIMEOUTS, ...callerLimits, maxHeaderBytes, onRejected, onDropped, onError })
   const peerAddress = parseHostPort(settings.peers.address)
   const { token } = settings.peers
   const peerServer = new HttpListener(peerListener({ token, source: { stateFor: (query) => components.node!.stateFor(query) } }), {
@@ -130,7 +146,7 @@
   })
   components.node = node
   const closeAfter = (request: IncomingMessage): boolean => callerServer.closeAfter(request)
-  components.callers = new CallerListener({ node, holdBytes: settings.callers.holdBytes, closeAfter })
+  components.callers = new CallerListener({ node, holdBytes: settings.callers.holdBytes, budget, closeAfter })
   components.directory = new DirectoryListener({ node, keepSeconds: settings.directory.keepSeconds })
 
   const datagrams = new DatagramPort({
@@ -202,7 +218,7 @@
     ports.operators = await operatorServer.listen()
     portProcesses.push(listenerProcess('operator-port', operatorServer))
   }
-  const reports = await createReporters(options, { node, client, datagrams, callerServer, losses, limits: limits('metrics') })
+  const reports = await createReporters(options, { node, client, datagrams, callerServer, losses, budget, limits: limits('metrics') })
   decisionObservers.push(...reports.decisionObservers)
   if (reports.port) {
     ports.metrics = await reports.port.listen()
@@ -322,7 +338,7 @@
 
 /** Creates the reporters that the settings enable. Loads a reporter's library only if it is enabled. */
 async function createReporters (options: EntryProcessOptions, sources: ReportSources) {
-  const { node, client, datagrams, callerServer, losses, limits } = sources
+  const { node, client, datagrams, callerServer, losses, budget, limits } = sources
   const { metrics, instance } = options.settings
   const decisionObservers: DecisionObserver[] = []
   const children: Child[] = []
@@ -342,7 +358,9 @@
       storeRequests: () => client.requests,
       peerMessages: () => datagrams.messages,
       callerConnections: () => callerServer.connections,
-      connectionsClosed: () => losses.totalOf(CONNECTION_LOST)
+      connectionsClosed: () => losses.totalOf(CONNECTION_LOST),
+      heldBytes: () => budget.bytes,
+      notHeld: () => losses.totalOf(NOT_HELD)
     })
     decisionObservers.push(prometheusMetrics)
     port = new HttpListener(metricsListener(prometheusMetrics), { ...parseHostPort(metrics.address), ...DEFAULT_TIMEOUTS, ...limits })
--- a/tests/reference.spec.ts
+++ b/tests/reference.spec.ts
@@ -26,7 +26,9 @@
       storeRequests: none,
       peerMessages: none,
       callerConnections: none,
-      connectionsClosed: none
+      connectionsClosed: none,
+      heldBytes: none,
+      notHeld: none
     })
     const served = registry.getMetricsAsArray().map(({ name }) => name).sort()
     const named = [...new Set(read('docs/operators/metrics.md').match(/gooseberryspan_[a-z_]+/g))].sort()
