--- a/packages/entry/src/caller/callerListener.ts
+++ b/packages/entry/src/caller/callerListener.ts
@@ -7,6 +7,7 @@
 import type { EntryNode } from '../runtime/entryNode.js'
 import { readBody } from './body.js'
 import { Exchange } from './exchange.js'
+import type { Hold, HoldBudget, HoldRefusal } from './holdBudget.js'
 import { resolveRequest } from './resolve.js'
 
 /** Options of a `CallerListener`. */
@@ -14,6 +15,7 @@
   node: EntryNode
   /** Bodies up to this size are buffered, in bytes; larger ones are streamed. */
   holdBytes: number
+  budget: HoldBudget
   /** Whether the connection of a request is to be closed after the response to it, if this entry is stopping. */
   closeAfter: (request: IncomingMessage) => boolean
 }
@@ -29,6 +31,7 @@
   private readonly _openRequests = new WeakMap<Socket, Set<number>>()
   /** Refuse the requests whose bodies have not been read yet. */
   private readonly _unread = new Set<() => void>()
+  private readonly _holds = new WeakMap<Socket, Set<Hold>>()
 
   constructor (options: CallerListenerOptions) {
     this._options = options
@@ -43,6 +46,8 @@
       reject(new BadRequest(503, 'entry', 'this entry is stopping'))
     }
     if (!node.acceptsRequests) return refuse()
+    const hold = this._openHold(request, response)
+    if (typeof hold === 'string') return this._refuseOpening(hold, request, response)
     const startedAt = node.now
     let spec: RequestSpec
     try {
@@ -53,12 +58,15 @@
     if (!node.core.plannedStop.leavesTimeFor(expiryOf(spec, startedAt))) return refuse()
     this._unread.add(refuse)
     const mostBytes = node.core.declarations.limits!.bodyBytes
-    readBody(request, { holdBytes: this._options.holdBytes, mostBytes }).finally(() => this._unread.delete(refuse)).then((body) => {
+    const { holdBytes } = this._options
+    const limits = { holdBytes, mostBytes, timeoutMs: spec.deadlineMs, take: (bytes: number) => hold.take(bytes) }
+    readBody(request, limits).finally(() => this._unread.delete(refuse)).then((body) => {
       spec.replayable = body.rest === undefined
       spec.bodyBytes = body.length
       spec.deadlineMs -= node.now - startedAt
       if (request.socket.destroyed || response.headersSent) return
-      const exchange = new Exchange({ request, response, spec, body, dialect: node.dialect, isClosing: () => this._isClosing(request) })
+      const isClosing = (): boolean => this._isClosing(request)
+      const exchange = new Exchange({ request, response, spec, body, hold, dialect: node.dialect, isClosing })
       this._trackRequest(request, response, spec.id)
       node.acceptRequest(exchange)
     }).catch(reject)
@@ -74,6 +82,36 @@
     return this._options.node.closing && this._options.closeAfter(request)
   }
 
+  /** Of a connection with too many open requests, nothing more is read: the caller sends elsewhere what follows. */
+  private _refuseOpening (refusal: HoldRefusal, request: IncomingMessage, response: ServerResponse): void {
+    const { node, closeAfter } = this._options
+    const isClosing = (): boolean => refusal === 'requests-of-connection' ? closeAfter(request) : this._isClosing(request)
+    rejectBadRequest(response, new BadRequest(503, 'entry', 'too many requests are open'), node, isClosing)
+  }
+
+  /** Holds memory for a request until its answer has been taken or its connection has closed. */
+  private _openHold ({ socket }: IncomingMessage, response: ServerResponse): Hold | HoldRefusal {
+    const hold = this._options.budget.open(socket)
+    if (typeof hold === 'string') return hold
+    let holds = this._holds.get(socket)
+    if (!holds) {
+      holds = new Set()
+      this._holds.set(socket, holds)
+      const openHolds = holds
+      // Node does not close a response that waits for an earlier one on its connection.
+      socket.once('close', () => {
+        for (const each of openHolds) each.release()
+      })
+    }
+    const openHolds = holds
+    openHolds.add(hold)
+    response.once('close', () => {
+      openHolds.delete(hold)
+      hold.release()
+    })
+    return hold
+  }
+
   /** When a caller closes its connection, reports each request that is still open on it as abandoned. */
   private _trackRequest (request: IncomingMessage, response: ServerResponse, id: number): void {
     const { socket } = request
@@ -104,7 +142,7 @@
   if (outcome !== undefined) headers[outcome] = stated
   if (reason !== undefined) headers[reason] = 'bad-request'
   if (bad.status === 503) headers[retryAfter] = node.closing ? STOPPING_RETRY_AFTER_S : NO_CONFIGURATION_RETRY_AFTER_S
-  if (bad.status === 413 || isClosing()) headers.connection = 'close'
+  if (bad.status === 408 || bad.status === 413 || isClosing()) headers.connection = 'close'
   response.writeHead(bad.status, headers)
   response.end(text)
 }
--- a/tests/reference.spec.ts
+++ b/tests/reference.spec.ts
@@ -27,7 +27,9 @@
       peerMessages: none,
       callerConnections: none,
       connectionsClosed: none,
-      portStates: () => []
+      portStates: () => [],
+      heldBytes: none,
+      notHeld: none
     })
     const served = registry.getMetricsAsArray().map(({ name }) => name).sort()
     const named = [...new Set(read('docs/operators/metrics.md').match(/gooseberryspan_[a-z_]+/g))].sort()
