--- a/packages/entry/src/runtime/eventRecorder.ts
+++ b/packages/entry/src/runtime/eventRecorder.ts
@@ -15,21 +15,28 @@
   event: Event
 }
 
-/** Appends events to a trace file until it is closed. */
+/** Appends events to a trace file until it is closed, or until writing fails. A trace with a gap could not be replayed. */
 export class EventRecorder implements Recorder {
   private readonly _file: WriteStream
+  private _failed = false
 
-  constructor (path: string, head: TraceHeader) {
+  constructor (path: string, head: TraceHeader, failed: (error: Error) => void = () => {}) {
     this._file = createWriteStream(path)
+    this._file.on('error', (error) => {
+      this._failed = true
+      failed(error)
+    })
     this._file.write(`${JSON.stringify(head)}\n`)
   }
 
   record (event: Event, now: number): void {
+    if (this._failed) return
     const line: TraceLine = { at: now, event }
     this._file.write(`${JSON.stringify(line)}\n`)
   }
 
   close (): Promise<void> {
+    if (this._failed) return Promise.resolve()
     return new Promise((resolve) => this._file.end(() => resolve()))
   }
 }
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -105,7 +105,8 @@
   const decisionObserver: DecisionObserver = {
     onDecision: (line: DecisionLine) => decisionObservers.forEach((each) => each.onDecision(line))
   }
-  const recorder = options.record === undefined ? undefined : new EventRecorder(options.record, built.head)
+  const onRecordFailed = (error: Error): void => log.error({ decision: 'record-ended', err: error })
+  const recorder = options.record === undefined ? undefined : new EventRecorder(options.record, built.head, onRecordFailed)
   const node = new EntryNode({
     core: built.core, dialect: formats.dialect, log, logDecisions: settings.log.decisions, now, decisionObserver, recorder
   })
--- a/tests/processEnd.spec.ts
+++ b/tests/processEnd.spec.ts
@@ -100,6 +100,18 @@
     }
   })
 
+  // Guards against a full disk ending an entry that records its events.
+  for (const file of ['/dev/full', '/nonexistent/trace']) {
+    it(`should go on if its events cannot be recorded (${file})`, async () => {
+      const program = run({ words: ['--record', file] })
+      await program.started()
+      expect(await program.endWithin(START_MS)).to.equal(undefined)
+      program.process.kill('SIGTERM')
+      expect(await program.ended).to.deep.equal({ code: 0, signal: null })
+      expect(program.lines().map(({ decision }) => decision)).to.include('record-ended')
+    })
+  }
+
   it('should report memory and descriptors as metrics', async () => {
     const program = run()
     const { metrics } = await program.started()
