Let an unexpected error cost one event instead of the process

An exception in the core ended the process when the event was a datagram, the end of an attempt or the answer to a probe, and cut all open requests of the entry; at a tick or a read of the store the supervisor restarted the worker, and at a caller's request the connection was closed. Most such errors come from input that reaches all entries at once (a row, a message), so all would have ended together, and again after each restart.

Now EntryNode contains an error in the core: the event is lost, what the core had decided before still takes effect, a caller whose arrival was lost loses its connection, and other requests go on. An exception or rejection that nobody caught outside the core counts alike once the entry has started. Each is logged as `unexpected-error` with its stack. More than five within a minute, the supervisors' limit, end the process by a graceful stop with code 1, so that callers' open requests are answered. A batch of datagrams that cannot be sent is dropped; before, it would have been tried again after each event.

unexpectedErrors.spec: on the code before, the tests of received, probed and attempt-ended end in an uncaught exception and the one of repeated ticks fails; processEnd.spec: the process ended with code 1 at the first error.

--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -169,6 +169,11 @@
     return this._outbox.take()
   }
 
+  /** Returns the effects that were decided before `handle` threw. */
+  takeEffects (): Effect[] {
+    return this._outbox.take()
+  }
+
   get phase (): Phase {
     return this.roster.self.phase
   }
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -58,6 +58,7 @@
   })
   if (!entry) return
   end.lastEvent = () => entry.node.lastEvent
+  end.unexpected = (origin, error) => entry.reportUnexpected(origin, error)
   let stopping = false
   const stop = async (signal: string): Promise<void> => {
     log.info({ decision: 'signal', reason: signal })
@@ -74,7 +75,7 @@
   entry.ended.catch(async (error: unknown) => {
     stopping = true
     await entry.stop()
-    end.exit(EXIT_FAILURE, 'supervisor gave up', error)
+    end.exit(EXIT_FAILURE, 'too many failures', error)
   })
 }
 
--- a/packages/entry/src/peers/datagramPort.ts
+++ b/packages/entry/src/peers/datagramPort.ts
@@ -68,8 +68,10 @@
   /** Sends all queued messages. */
   flush (): void {
     if (this._batches.size === 0) return
-    for (const { to, messages } of this._batches.values()) this._write(to.host, to.peerPort, messages)
+    // A batch that cannot be sent is dropped like a lost datagram, and must not be tried again after each event.
+    const batches = [...this._batches.values()]
     this._batches.clear()
+    for (const { to, messages } of batches) this._write(to.host, to.peerPort, messages)
   }
 
   async close (): Promise<void> {
--- a/packages/entry/src/reports/processEnd.ts
+++ b/packages/entry/src/reports/processEnd.ts
@@ -16,12 +16,17 @@
 export class ProcessEnd {
   /** Returns the kind of the event that was handled last. */
   lastEvent: () => string | undefined = () => undefined
+  /** Takes an error that nobody handled. Before it is set, and while the process exits, such an error ends the process. */
+  unexpected: ((origin: string, error: Error) => void) | undefined
   private readonly _options: ProcessEndOptions
   private _reported = false
 
   constructor (options: ProcessEndOptions) {
     this._options = options
-    process.on('uncaughtException', (error, origin) => this.exit(EXIT_FAILURE, `unexpected error: ${origin}`, error))
+    process.on('uncaughtException', (error, origin) => {
+      if (this.unexpected && !this._reported) this.unexpected(origin, error)
+      else this.exit(EXIT_FAILURE, `unexpected error: ${origin}`, error)
+    })
     process.on('exit', (code) => {
       if (!this._reported) this._report('fatal', code, 'nothing left to do')
     })
--- a/packages/entry/src/runtime/entryNode.ts
+++ b/packages/entry/src/runtime/entryNode.ts
@@ -48,6 +48,8 @@
   configured: () => void
   /** Called when this entry has left the other entries and may exit. */
   left: () => void
+  /** Called with an unexpected error in the core, and the kind of the event that was lost to it. */
+  failed: (kind: Event['kind'], error: unknown) => void
   /** Called after each event, since the core may need its next tick sooner than planned. */
   rescheduleTick: () => void
 }
@@ -163,7 +165,21 @@
     const now = this.now
     this._lastEvent = event.kind
     this._options.recorder?.record(event, now)
-    for (const effect of this.core.handle(event, now)) this._perform(effect)
+    for (const effect of this._decide(event, now)) this._perform(effect)
+  }
+
+  /** An unexpected error in the core costs the event. What the core had decided before still takes effect. */
+  private _decide (event: Event, now: number): Effect[] {
+    try {
+      return this.core.handle(event, now)
+    } catch (error) {
+      this._handlers.failed(event.kind, error)
+      if (event.kind === 'request-arrived') {
+        this._exchanges.get(event.request.id)?.abort()
+        this._discardRequest(event.request.id)
+      }
+      return this.core.takeEffects()
+    }
   }
 
   /** Executes an effect. If that fails, only the request or probe that the effect belongs to ends. */
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -28,6 +28,7 @@
 import { PortGate } from './runtime/portGate.js'
 import { Ports, type PortState } from './runtime/ports.js'
 import { Ticker } from './runtime/processes.js'
+import { UnexpectedErrors } from './runtime/unexpectedErrors.js'
 import { parseHostPort, type Settings } from './settings.js'
 import { StoreExecutor } from './store/storeExecutor.js'
 
@@ -58,8 +59,10 @@
 export interface EntryProcess {
   node: EntryNode
   store: Store
-  /** Resolves when the process has ended; rejects if its supervisor gave up. */
+  /** Resolves when the process has ended; rejects if its supervisor gave up or unexpected errors came too often. */
   ended: Promise<void>
+  /** Reports an error that nobody handled. The entry goes on unless there were too many. */
+  reportUnexpected (reason: string, error: unknown): void
   /** The ports, where the settings say 0 the one that the system chose. A port that only reports is absent until it listens. */
   ports: { callers: number, peers: number, operators?: number, metrics?: number }
   /** Stops gracefully. Resolves with whether all open requests could finish. */
@@ -180,6 +183,7 @@
   const hasLeft = new Promise<void>((resolve) => {
     resolveLeft = resolve
   })
+  const unexpectedErrors = new UnexpectedErrors(log)
   node.connect({
     backends,
     probes,
@@ -198,6 +202,7 @@
       if (limits) callerServer.setTimeouts(limits)
     },
     left: () => resolveLeft(),
+    failed: (kind, error) => unexpectedErrors.report(`core: ${kind}`, error),
     rescheduleTick: () => ticker.reschedule()
   })
 
@@ -247,7 +252,7 @@
     reports.close()
     await recorder?.close()
   }
-  const ended = root.start()
+  const ended = Promise.race([root.start(), unexpectedErrors.exceeded])
   ended.catch(() => {})
   log.info({ decision: 'started', zone: settings.zone, ports, seed: built.head.seed })
 
@@ -255,6 +260,7 @@
     node,
     store,
     ended,
+    reportUnexpected: (reason, error) => unexpectedErrors.report(reason, error),
     ports,
     stop: async () => {
       const graceEndsAt = now() + settings.stop.graceSeconds * 1000
