--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -63,10 +63,11 @@
   })
   if (!entry) return
   end.lastEvent = () => entry.node.lastEvent
+  end.unexpected = (origin, error) => entry.reportUnexpected(origin, error)
   signals.started({ open: () => entry.node.open, stop: () => entry.stop() })
   entry.ended.catch(async (error: unknown) => {
     await entry.stop()
-    end.exit(EXIT_FAILURE, 'supervisor gave up', error)
+    end.exit(EXIT_FAILURE, 'too many failures', error)
   })
 }
 
