--- a/tests/chaos/entryInstance.ts
+++ b/tests/chaos/entryInstance.ts
@@ -191,6 +191,7 @@
     if (code === 0 || (signal === 'SIGTERM' && entry.readyAt === undefined)) return
     const isTrue = code === 1 && entry.errors === '' && this._options.ledger.wasCut(this.index, entry.stopAt)
     if (isTrue) return
+    report.note(`${this.name} wrote: ${entry.output}`)
     report.finding('stop', `${this.name} ended a planned stop with ${how}, ${report.now - entry.stopAt} ms after the signal: ${reason}`)
   }
 }
