--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -20,6 +20,7 @@
 import { ServerStatements } from './placement/serverStatements.js'
 import { shuffled, type Random } from './random.js'
 import { CellSelector } from './requests/cellSelector.js'
+import { PlannedStop } from './requests/plannedStop.js'
 import { RequestHandler } from './requests/requestHandler.js'
 import { SchedulerClient } from './requests/schedulerClient.js'
 import { RowApplier } from './store/rowApplier.js'
@@ -43,6 +44,8 @@
   lapseMs: number
   /** How long a stopping entry still accepts requests from callers that have cached its address, in milliseconds. */
   lingerMs: number
+  /** How long after the start of a stop requests may stay open, in milliseconds; unlimited by default. */
+  stopLimitMs?: number
 }
 
 /** Time between ticks while a request waits for a server. */
@@ -71,6 +74,7 @@
   readonly cells: Cells
   readonly holds: ServerHolds
   readonly weightedPicker: WeightedPicker
+  readonly plannedStop: PlannedStop
   private readonly _options: EntryOptions
   private readonly _outbox = new Outbox()
   private readonly _joining: Joining
@@ -79,14 +83,15 @@
   private readonly _statements: ServerStatements
   private readonly _warmUp = new WarmUp(MAX_ACTIVE_TICK_MS)
   private _now = 0
-  private _stoppedAt: number | undefined
   private _hasExited = false
+  private _callerPortIsOpen = true
 
   constructor (options: EntryOptions) {
     this._options = options
     const outbox = this._outbox
     const { random, identity, seeds } = options
     this.invariants = new Invariants(options.watcher)
+    this.plannedStop = new PlannedStop(options)
     this.declarations = new Declarations(this.invariants)
     this.catalog = new Catalog({
       lapseMs: options.lapseMs, isDeclared: (service) => this.declarations.service(service) !== undefined
@@ -149,7 +154,8 @@
       outbox,
       invariants,
       cellSelector,
-      holds
+      holds,
+      plannedStop: this.plannedStop
     })
     this.host.connect(this.requests)
   }
@@ -159,7 +165,7 @@
     if (this._now > 0 && now - this._now > MIN_PAUSE_MS) this.requests.processResumed(now)
     this._now = Math.max(this._now, now)
     this._handleEvent(event, this._now)
-    if (this.phase === 'starting' && this.replication.hasAllTables && this.declarations.gateway) this._enterPhase('ready', this._now)
+    if (this.phase === 'starting' && this._canServe) this._enterPhase('ready', this._now)
     return this._outbox.take()
   }
 
@@ -171,13 +177,13 @@
   pauseMs (now: number): number {
     if (this.requests.waiting || this.host.busy) return WAITING_TICK_MS
     const maxTickMs = !this.roster.self.isWarm || this.host.isActive(now) ? MAX_ACTIVE_TICK_MS : MAX_TICK_MS
-    const dueAt = Math.min(this.requests.dueAt, this.roster.dueAt, now + maxTickMs)
+    const dueAt = Math.min(this.requests.dueAt, this.roster.dueAt, this._closeDueAt, now + maxTickMs)
     return Math.max(MIN_TICK_MS, dueAt - now)
   }
 
   /** Whether this entry still accepts requests. */
   acceptsRequests (now: number): boolean {
-    return this._stoppedAt === undefined || now - this._stoppedAt < this._options.lingerMs
+    return this.plannedStop.accepts(now)
   }
 
   /** Returns the entries that callers may use. If there are more than one answer holds, those of the given zone come first. */
@@ -199,6 +205,10 @@
     return { versions: this.replication.versions }
   }
 
+  private get _canServe (): boolean {
+    return this._callerPortIsOpen && this.replication.hasAllTables && this.declarations.gateway !== undefined
+  }
+
   private _handleEvent (event: Event, now: number): void {
     switch (event.kind) {
       case 'tick': return this._tick(now)
@@ -212,6 +222,7 @@
       case 'pulled': return event.state && this.replication.pulled(event.state, now)
       case 'table-read': return this.replication.tableRead(event.table, event.reading, now)
       case 'entries-found': return this._entriesFound(event.book, now)
+      case 'caller-port': return this._callerPortChanged(event.isOpen, now)
       case 'stop': return this._stop(now)
     }
   }
@@ -305,18 +316,30 @@
     this.replication.entriesExpected(entryCount, now)
   }
 
+  private _callerPortChanged (isOpen: boolean, now: number): void {
+    this._callerPortIsOpen = isOpen
+    if (!isOpen && this.phase === 'ready') this._enterPhase('starting', now)
+  }
+
   private _stop (now: number): void {
-    if (this._stoppedAt !== undefined) return
-    this._stoppedAt = now
+    if (!this.plannedStop.begin(now)) return
     this._enterPhase('leaving', now)
+    this.requests.stopBegan(now)
+  }
+
+  /** Time at which the end of a stop is due, while there is something to end. */
+  private get _closeDueAt (): number {
+    return this._hasExited && this.requests.open === 0 ? Infinity : this.plannedStop.closesAt
   }
 
   private _exitIfIdle (now: number): void {
-    if (
-      this._hasExited || this._stoppedAt === undefined || this.acceptsRequests(now) || this.requests.open > 0 || this.host.busy
-    ) return
+    const { startedAt, closesAt } = this.plannedStop
+    if (startedAt === undefined) return
+    if (now >= closesAt) this.requests.closeAll(now)
+    else if (this.acceptsRequests(now) || this.requests.open > 0 || this.host.busy) return
+    if (this._hasExited) return
     this._hasExited = true
-    this._outbox.log({ decision: 'left', tookMs: Math.round(now - this._stoppedAt) })
+    this._outbox.log({ decision: 'left', tookMs: Math.round(now - startedAt) })
     this._outbox.put({ kind: 'left' })
   }
 }
