Check in the fault soak that entries count no request as open once all have ended

Adds the check after the faults, draws backend faults more often, and reports readiness once for each process.

--- a/tests/chaos/chaosRun.ts
+++ b/tests/chaos/chaosRun.ts
@@ -30,8 +30,9 @@
 const CORE_PERIOD_MS = 50
 const MAX_SEEDS = 3
 const WATCH_INTERVAL_MS = 150
-/** Calm before the final planned stop, so that no earlier fault excuses a request that it cuts. */
+/** Calm before the final planned stop, so that no earlier fault excuses a request that it cuts. Longer than any deadline. */
 const CALM_MS = 3200
+const FINAL_LOAD_MS = 800
 const SERVED_TRIES = 10
 const TRY_GAP_MS = 500
 const PRESSING_CALLERS = 25
@@ -105,9 +106,7 @@
     for (const instance of this._instances) instance.start()
     this._watch()
     await this._allReady()
-    for (let index = 0; index < BASE_CALLERS + this._options.entries / ENTRIES_PER_CALLER; index++) {
-      this._call(BEHAVIOURS[index % BEHAVIOURS.length]!)
-    }
+    this._startCallers()
     const faultsFrom = report.now
     const faults = plan.faults.map(async (fault) => {
       await pause(Math.max(0, faultsFrom + fault.at - report.now))
@@ -187,6 +186,11 @@
     while (this.report.now < until && !this._instances.every(({ ready }) => ready)) await pause(WATCH_INTERVAL_MS)
   }
 
+  private _startCallers (): void {
+    const count = BASE_CALLERS + this._options.entries / ENTRIES_PER_CALLER
+    for (let index = 0; index < count; index++) this._call(BEHAVIOURS[index % BEHAVIOURS.length]!)
+  }
+
   private _call (behaviour: Behaviour): Caller {
     const { report, ledger } = this
     const caller = new Caller({ behaviour, instances: this._instances, ledger, report, random: this._random })
@@ -214,7 +218,14 @@
       }
       report.finding('serve', `${instance.name} serves no request after the faults: ${instance.current?.output.slice(-300)}`)
     }))
+    for (const each of this._callers) each.stop()
     await pause(CALM_MS)
+    for (const instance of this._instances) {
+      const open = await instance.openRequests()
+      if (open) report.finding('open', `${instance.name} counts ${open} open requests ${CALM_MS} ms after the last one`)
+    }
+    this._startCallers()
+    await pause(FINAL_LOAD_MS)
     await Promise.all(this._instances.map((instance) => instance.stop()))
     for (const each of this._callers) each.stop()
     const peaks = this._instances.map(({ peakKilobytes }) => Math.round(peakKilobytes / 1024))
--- a/tests/chaos/entryInstance.ts
+++ b/tests/chaos/entryInstance.ts
@@ -30,7 +30,7 @@
 /** Resident memory of the instance. */
 const MAX_KILOBYTES = 350 * 1024
 const RESTART_DELAY_MS = 300
-const READY_TIMEOUT_MS = 1000
+const FETCH_TIMEOUT_MS = 1000
 
 /** An instance on a loopback address of its own. */
 export class EntryInstance {
@@ -148,7 +148,8 @@
     if (entry.readyAt !== undefined || entry.stopAt !== undefined) return
     if (disturbances.active('store') || disturbances.active(this.name) || this._arePortsTaken(entry)) {
       this._blockedAt = report.now
-    } else if (await this._isReady() && entry === this.current && entry.alive) {
+    } else if (await this._isReady()) {
+      if (entry !== this.current || !entry.alive || entry.readyAt !== undefined) return
       entry.readyAt = report.now
       report.note(`${this.name} ready after ${entry.readyAt - entry.startedAt} ms`)
     } else if (report.now - Math.max(entry.startedAt, this._blockedAt) > READY_BOUND_MS && !entry.lateToStart) {
@@ -163,15 +164,30 @@
     return [...this.heldPorts].some((port) => port !== 'metrics') || [...this._processes].some((other) => other !== entry && other.alive)
   }
 
-  private _isReady (): Promise<boolean> {
+  /** The number of open requests by the entry's metrics, if they can be read. */
+  async openRequests (): Promise<number | undefined> {
+    const text = await this._fetch('metrics', '/metrics')
+    const found = /^gooseberryspan_open_requests(?:\{.*\})? (\d+)$/m.exec(text ?? '')
+    return found ? Number(found[1]) : undefined
+  }
+
+  private async _isReady (): Promise<boolean> {
+    return await this._fetch('ready', '/-/readiness') !== undefined
+  }
+
+  /** Returns the body of an answer with status 200. */
+  private _fetch (port: PortName, path: string): Promise<string | undefined> {
     return new Promise((resolve) => {
-      const options = { host: this.host, port: this.ports.ready, path: '/-/readiness', timeout: READY_TIMEOUT_MS, agent: false }
-      const call = get(options, (answer) => {
-        answer.resume()
-        resolve(answer.statusCode === 200)
+      const call = get({ host: this.host, port: this.ports[port], path, timeout: FETCH_TIMEOUT_MS, agent: false }, (answer) => {
+        let text = ''
+        answer.on('data', (part: Buffer) => {
+          text += part.toString('utf8')
+        })
+        answer.on('error', () => resolve(undefined))
+        answer.on('end', () => resolve(answer.statusCode === 200 ? text : undefined))
       })
       call.on('timeout', () => call.destroy(new Error('no answer')))
-      call.on('error', () => resolve(false))
+      call.on('error', () => resolve(undefined))
     })
   }
 
--- a/tests/chaos/plan.ts
+++ b/tests/chaos/plan.ts
@@ -58,7 +58,7 @@
 /** Spreads the seeds: the first numbers of neighbouring ones are alike. */
 const SEED_FACTOR = 0x9E3779B1
 /** Faults a second: a constant part and a part for each entry. */
-const BASE_RATE = 0.8
+const BASE_RATE = 1.2
 const RATE_PER_ENTRY = 0.12
 /** Longest duration of a fault. */
 const MAX_FAULT_MS = 7000
@@ -68,7 +68,7 @@
   'stop', 'stop', 'stop-overlapped', 'kill', 'pause', 'pause', 'hang-up', 'held-port', 'held-port', 'slow-log-reader', 'lost-log-reader',
   'idle-connections', 'noise', 'kill-all', 'roll'
 ] as const
-const OTHER_KINDS = ['store', 'backend', 'backend', 'backend', 'change', 'press'] as const
+const OTHER_KINDS = ['store', 'backend', 'backend', 'backend', 'backend', 'backend', 'change', 'press'] as const
 
 /** Draws the faults of a run. */
 export function drawPlan ({ seed, seconds, entries, servers, without = [] }: PlanOptions): Plan {
