--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -5,7 +5,7 @@
 import {
   EntryCore, SeededRandom, type DecisionLine, type EntryOptions, type Invariant, type RowReader, type Tolerances
 } from '@gooseberryspan/core'
-import { RESTART_POLICY, Supervisor, type Child, type SupervisorListener } from '@gooseberryspan/csp'
+import { ENDLESS_RESTART_POLICY, RESTART_POLICY, Supervisor, type Child, type SupervisorListener } from '@gooseberryspan/csp'
 import {
   ConfigurationStore, HttpClient, HttpStore, DefaultStoreProtocol, DefaultRowReader, type Store, type StoreProtocol
 } from '@gooseberryspan/store'
@@ -26,7 +26,10 @@
 import { EventRecorder } from './runtime/eventRecorder.js'
 import { MemoryBudget, readMemoryLimit } from './runtime/memoryBudget.js'
 import { HttpListener, type ListenerOptions } from './runtime/httpListener.js'
-import { listenerProcess, Ticker } from './runtime/processes.js'
+import { REPORTING_RETRY, SERVING_RETRY } from './runtime/port.js'
+import { PortGate } from './runtime/portGate.js'
+import { Ports, type PortState } from './runtime/ports.js'
+import { Ticker } from './runtime/processes.js'
 import { parseHostPort, type Settings } from './settings.js'
 import { StoreExecutor } from './store/storeExecutor.js'
 
@@ -59,7 +62,7 @@
   store: Store
   /** Resolves when the process has ended; rejects if its supervisor gave up. */
   ended: Promise<void>
-  /** Ports in use; where the settings say 0, the port that the system chose. */
+  /** The ports, where the settings say 0 the one that the system chose. A port that only reports is absent until it listens. */
   ports: { callers: number, peers: number, operators?: number, metrics?: number }
   /** Stops gracefully. Resolves with whether all open requests could finish. */
   stop (): Promise<boolean>
@@ -71,8 +74,10 @@
 const PEER_PULL_TIMEOUT_MS = 800
 const DEFAULT_TIMEOUTS = { headerMs: 5000, idleMs: 15_000 }
 const SEED_LIMIT = 2 ** 32
-/** Fraction of the grace time after which a stopping process aborts the requests that are still open. */
-const STOP_GRACE_FRACTION = 0.88
+/** A stopping process ends open requests this long before its grace time is over. Callers need it to take the last answers. */
+const STOP_MARGIN_MS = 500
+/** Of that, the time to close connections and exit, on an instance with half a core that is paused tens of milliseconds at a time. */
+const EXIT_MARGIN_MS = 250
 const MIN_STOP_WAIT_MS = 20
 const MAX_BUFFERED_ANSWER_BYTES = 262_144
 /** Slightly longer than the two seconds within which lapsed registrations are renewed after the store is reachable again. */
@@ -96,16 +101,20 @@
   losses: LossReport
   budget: HoldBudget
   limits: ConnectionLimits
+  portStates: () => PortState[]
 }
 
-/** Builds and starts an entry. It listens before the core is built, so that the core reports the ports that the system chose. */
+/**
+ * Builds and starts an entry. It starts whichever of its ports are taken, and opens these when they are free. Ports that the system
+ * chooses are opened before the core is built, so that the core reports them.
+ */
 export async function startEntry (options: EntryProcessOptions): Promise<EntryProcess> {
   const { settings, log } = options
   const formats = options.formats ?? defaultFormats(settings)
   const now = (): number => performance.now()
   const client = new HttpClient(settings.store)
   const store = new HttpStore(client, formats.protocol)
-  const components: { node?: EntryNode, callers?: CallerListener, directory?: DirectoryListener } = {}
+  const components: { node?: EntryNode, callers?: CallerListener, directory?: DirectoryListener, gate?: PortGate } = {}
 
   const callerAddress = parseHostPort(settings.callers.address)
   const losses = new LossReport({ log, now })
@@ -122,8 +131,10 @@
   const onRejected = (reason: string, caller: string): void => log.info({ decision: 'malformed-request', reason, caller })
   const onError = (error: unknown): void => log.error({ err: error }, 'request failed with an internal error')
   const onDropped = (): void => losses.record('request-dropped', 'connection-closing')
+  const { address: directoryAddress, readyAddress } = settings.directory
+  const servesDirectory = [directoryAddress, readyAddress].some((address) => sharesCallerPort(settings, address))
   const callerServer = new HttpListener((request, response) => {
-    const isDirectoryRequest = settings.directory.address === undefined && components.directory!.serves(request.url ?? '/')
+    const isDirectoryRequest = servesDirectory && components.directory!.serves(request.url ?? '/')
     const { listener } = isDirectoryRequest ? components.directory! : components.callers!
     listener(request, response)
   }, { ...callerAddress, ...DEFAULT_TIMEOUTS, ...callerLimits, maxHeaderBytes, onRejected, onDropped, onError })
@@ -132,10 +143,15 @@
   const peerServer = new HttpListener(peerListener({ token, source: { stateFor: (query) => components.node!.stateFor(query) } }), {
     ...peerAddress, ...limits('peers'), headerMs: PEER_PORT_TIMEOUT_MS, idleMs: PEER_PORT_TIMEOUT_MS
   })
-  const callers = await callerServer.listen()
-  const peers = await peerServer.listen()
+  const openPorts = new Ports({ log, now })
+  const opened = (): void => components.gate?.update()
+  const callerPort = openPorts.add('callers', callerAddress, callerServer, SERVING_RETRY, opened)
+  const peerPort = openPorts.add('peers-tcp', peerAddress, peerServer, SERVING_RETRY, opened)
+  await callerPort.choose()
+  await peerPort.choose()
 
-  const built = buildCore(options, formats, { port: callers, peerPort: peers })
+  const ports: EntryProcess['ports'] = { callers: callerPort.number, peers: peerPort.number }
+  const built = buildCore(options, formats, { port: ports.callers, peerPort: ports.peers })
   const decisionObservers: DecisionObserver[] = []
   const decisionObserver: DecisionObserver = {
     onDecision: (line: DecisionLine) => decisionObservers.forEach((each) => each.onDecision(line))
@@ -150,9 +166,11 @@
   components.directory = new DirectoryListener({ node, keepSeconds: settings.directory.keepSeconds })
 
   const datagrams = new DatagramPort({
-    host: peerAddress.host, port: peers, token, self: () => built.core.roster.self, received: (envelope) => node.received(envelope)
+    host: peerAddress.host, port: ports.peers, token, self: () => built.core.roster.self, received: (envelope) => gate.received(envelope)
   })
-  await datagrams.listen()
+  const datagramPort = openPorts.add('peers-udp', { host: peerAddress.host, port: ports.peers }, datagrams, SERVING_RETRY, opened)
+  const gate = new PortGate({ node, callers: callerPort, peers: [peerPort, datagramPort] })
+  components.gate = gate
   const backends = new BackendClient({
     dialect: formats.dialect,
     connectMs: settings.backends.connectMs,
@@ -198,43 +216,51 @@
     rescheduleTick: () => ticker.reschedule()
   })
 
-  const watcher = supervisorLogger(log)
-  const supervise = (name: string, children: Child[]): Supervisor => new Supervisor({ name, children, policy: RESTART_POLICY, watcher })
-  const ports: EntryProcess['ports'] = { callers, peers }
-  const portProcesses = [listenerProcess('caller-port', callerServer), listenerProcess('peer-port', peerServer)]
-  for (const [name, address] of [
-    ['directory', settings.directory.address], ['ready', settings.directory.readyAddress]
-  ] as const) {
-    if (address === undefined) continue
-    const port = new HttpListener(
+  for (const [name, address] of [['directory', directoryAddress], ['ready', readyAddress]] as const) {
+    if (address === undefined || sharesCallerPort(settings, address)) continue
+    if (name === 'ready' && address === directoryAddress) continue
+    const listener = new HttpListener(
       (request, response) => components.directory!.listener(request, response),
       { ...parseHostPort(address), ...DEFAULT_TIMEOUTS, ...limits(name), onError }
     )
-    await port.listen()
-    portProcesses.push(listenerProcess(`${name}-port`, port))
+    openPorts.addUnlessUsed(name, parseHostPort(address), listener, SERVING_RETRY)
   }
   const operatorServer = createOperatorPort(options, node, store, limits('operators'))
   if (operatorServer) {
-    ports.operators = await operatorServer.listen()
-    portProcesses.push(listenerProcess('operator-port', operatorServer))
+    openPorts.addUnlessUsed('operators', parseHostPort(settings.operators.address), operatorServer, REPORTING_RETRY, (port) => {
+      ports.operators = port
+    })
   }
-  const reports = await createReporters(options, { node, client, datagrams, callerServer, losses, budget, limits: limits('metrics') })
+  const portStates = (): PortState[] => openPorts.states()
+  const reports = await createReporters(options, {
+    node, client, datagrams, callerServer, losses, budget, limits: limits('metrics'), portStates
+  })
   decisionObservers.push(...reports.decisionObservers)
   if (reports.port) {
-    ports.metrics = await reports.port.listen()
-    portProcesses.push(listenerProcess('metrics-port', reports.port))
+    openPorts.addUnlessUsed('metrics', parseHostPort(settings.metrics.address!), reports.port, REPORTING_RETRY, (port) => {
+      ports.metrics = port
+    })
   }
+  await openPorts.open()
+
+  const watcher = supervisorLogger(log)
+  const supervise = (name: string, children: Child[], policy = RESTART_POLICY): Supervisor =>
+    new Supervisor({ name, children, policy, watcher })
   const children: Child[] = [
-    supervise('store', storeExecutor.workers()), supervise('decisions', [ticker]), supervise('ports', portProcesses)
+    supervise('store', storeExecutor.workers()),
+    supervise('decisions', [gate.delay(ticker)]),
+    supervise('ports', openPorts.all, ENDLESS_RESTART_POLICY)
   ]
-  if (reports.children.length > 0) children.push(supervise('reports', reports.children))
+  if (reports.children.length > 0) children.push(supervise('reports', reports.children, ENDLESS_RESTART_POLICY))
   const root = supervise('root', children)
   const close = async (): Promise<void> => {
-    await root.stop().catch(() => {})
+    const stopped = root.stop().catch(() => {})
+    // Ends the reads that the store answers only after a change or a time.
+    client.close()
+    await stopped
     backends.close()
     probes.close()
-    datagrams.close()
-    client.close()
+    await datagrams.close()
     reports.close()
     await recorder?.close()
   }
@@ -248,19 +274,20 @@
     ended,
     ports,
     stop: async () => {
+      const graceEndsAt = now() + settings.stop.graceSeconds * 1000
       log.info({ decision: 'stopping', open: node.open })
       node.handle({ kind: 'stop' })
-      const cutAt = now() + settings.stop.graceSeconds * 1000 * STOP_GRACE_FRACTION
-      const graceful = await settlesWithin(hasLeft, cutAt - now())
-      const { open } = node
-      built.core.invariants.check('stop-cuts-nothing', graceful || open === 0, () => `${open} requests at the stop limit`)
+      if (!gate.isOpen) resolveLeft()
+      await settlesWithin(hasLeft, graceEndsAt - EXIT_MARGIN_MS - now())
       // Slow callers still receive answers.
-      await settlesWithin(callerServer.answered(), cutAt - now())
+      await settlesWithin(callerServer.answered(), graceEndsAt - EXIT_MARGIN_MS - now())
+      const cut = built.core.requests.brokenOff + callerServer.unanswered
+      built.core.invariants.check('stop-cuts-nothing', cut === 0, () => `${cut} requests at the stop limit`)
       callerServer.cut()
       peerServer.cut()
-      await close()
-      log.info({ decision: 'stopped', cut: open })
-      return open === 0
+      await settlesWithin(close(), graceEndsAt - now())
+      log.info({ decision: 'stopped', cut })
+      return cut === 0
     },
     crash: () => {
       callerServer.cut()
@@ -279,6 +306,11 @@
   })
 }
 
+/** Whether an address of the directory is the callers' address, which is also its default. */
+function sharesCallerPort ({ callers }: Settings, address: string | undefined): boolean {
+  return address === undefined || address === callers.address
+}
+
 function defaultFormats (settings: Settings): PlatformFormats {
   return {
     dialect: new DefaultDialect(settings.backends.headerPrefix), protocol: new DefaultStoreProtocol(), reader: new DefaultRowReader()
@@ -297,7 +329,8 @@
     isFirstStart: settings.peers.firstStart,
     tolerances: readTolerances(settings),
     lapseMs: REGISTRATION_LAPSE_MS,
-    lingerMs: settings.stop.lingerSeconds * 1000
+    lingerMs: settings.stop.lingerSeconds * 1000,
+    stopLimitMs: Math.max(0, settings.stop.graceSeconds * 1000 - STOP_MARGIN_MS)
   }
   const core = new EntryCore({ ...head, reader, random: new SeededRandom(seed), watcher: invariantReporter(options) })
   return { core, head }
@@ -338,7 +371,7 @@
 
 /** Creates the reporters that the settings enable. Loads a reporter's library only if it is enabled. */
 async function createReporters (options: EntryProcessOptions, sources: ReportSources) {
-  const { node, client, datagrams, callerServer, losses, budget, limits } = sources
+  const { node, client, datagrams, callerServer, losses, budget, limits, portStates } = sources
   const { metrics, instance } = options.settings
   const decisionObservers: DecisionObserver[] = []
   const children: Child[] = []
@@ -360,7 +393,8 @@
       callerConnections: () => callerServer.connections,
       connectionsClosed: () => losses.totalOf(CONNECTION_LOST),
       heldBytes: () => budget.bytes,
-      notHeld: () => losses.totalOf(NOT_HELD)
+      notHeld: () => losses.totalOf(NOT_HELD),
+      portStates
     })
     decisionObservers.push(prometheusMetrics)
     port = new HttpListener(metricsListener(prometheusMetrics), { ...parseHostPort(metrics.address), ...DEFAULT_TIMEOUTS, ...limits })
--- a/tests/reference.spec.ts
+++ b/tests/reference.spec.ts
@@ -28,7 +28,8 @@
       callerConnections: none,
       connectionsClosed: none,
       heldBytes: none,
-      notHeld: none
+      notHeld: none,
+      portStates: () => []
     })
     const served = registry.getMetricsAsArray().map(({ name }) => name).sort()
     const named = [...new Set(read('docs/operators/metrics.md').match(/gooseberryspan_[a-z_]+/g))].sort()
