Hold at most 500 open requests in an entry, so that it stays responsive

Callers and operators saw: readiness without an answer within 1 s, for 7.6 s, after 300 callers sent 30 requests each at once. Cause: of 1,000 open requests most wait for a server, and a scheduler counts its queue and readings again for each placement: the profile shows _countOutstanding, sentSinceProbe and the garbage collector for most of the busy time. Change: 500 open requests at most; the others are refused as not run at once. The cost of the queue in the scheduler remains, and so does the time for the first burst.

--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -86,7 +86,7 @@
 const CONNECTION_LOST = 'connection-closed'
 const NOT_HELD = 'not-held'
 /** Bounds the processor time for the requests that wait for a server. */
-const MAX_OPEN_REQUESTS = 1000
+const MAX_OPEN_REQUESTS = 500
 const MAX_OPEN_REQUESTS_PER_CONNECTION = 32
 
 /** Options that limit the connections of one port. */
