Close connections on which nothing is sent when a stopped entry exits

Operators saw a stop that used up the whole grace time, so that the process could end by SIGKILL: the exit waited for each connection that Node does not count as idle, such as one on which a client, a health checker or a request that crossed the close has sent nothing yet.

A port that closes now cuts after 0.1 s what is left, and the exit waits for ports only until half of its margin is over.

--- a/packages/entry/src/runtime/httpListener.ts
+++ b/packages/entry/src/runtime/httpListener.ts
@@ -53,6 +53,8 @@
 const REJECTED_LINGER_MS = 1000
 /** A body of which more than this follows its response costs more than a new connection. */
 const MAX_DISCARDED_BYTES = 67_108_864
+/** How long requests may still be answered once the port is closed. */
+const CLOSE_TIMEOUT_MS = 100
 const HEADER_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
 const ERROR_STATUS_LINES: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -125,10 +127,15 @@
     })
   }
 
-  /** Stops accepting connections, closes idle ones, and resolves when all connections have closed. */
+  /** Stops accepting connections, closes idle ones at once and the others soon after, and resolves when all have closed. */
   close (): Promise<void> {
     return new Promise((resolve) => {
-      this._server.close(() => resolve())
+      // A connection on which nothing has been received does not count as idle.
+      const timer = setTimeout(() => this.cut(), CLOSE_TIMEOUT_MS)
+      this._server.close(() => {
+        clearTimeout(timer)
+        resolve()
+      })
       this._server.closeIdleConnections()
     })
   }
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -280,7 +280,7 @@
     built.core.invariants.check('stop-cuts-nothing', cut === 0, () => `${cut} requests at the stop limit`)
     callerServer.cut()
     peerServer.cut()
-    await settlesWithin(close(), graceEndsAt - now())
+    await settlesWithin(close(), graceEndsAt - EXIT_MARGIN_MS / 2 - now())
     log.info({ decision: 'stopped', cut })
     return cut === 0
   }
--- a/tests/stopping.spec.ts
+++ b/tests/stopping.spec.ts
@@ -100,4 +100,17 @@
     expect(text).to.include('gooseberryspan_decisions_total{decision="refused",reason="not-run: stopping"} 1')
     expect(await stopped).to.equal(true)
   })
+
+  // Guards against an exit that waits for a client which has connected and sends nothing.
+  it('should end soon after its last request though a client sends nothing', async () => {
+    deployment.stopSettings = { lingerSeconds: 0, graceSeconds: 5 }
+    await deployment.start(LONG, [{}], ['a'])
+    const entry = deployment.entries[0]!
+    const silent = openRaw(entry.ports.metrics!)
+    await pause(100)
+    const stoppedAt = performance.now()
+    expect(await entry.stop()).to.equal(true)
+    expect(performance.now() - stoppedAt).to.be.below(500)
+    await silent.ended
+  })
 })
