Log Node's warnings instead of writing them to standard error

A warning of Node.js (a timer that is too long, too many listeners) ended a process whose standard error could not be written: Node's own listener prints it there, and the stream's error had no handler. Measured with bare Node 20.19: code 1 with /dev/full and with a reader that had gone; 0 of our code involved.

The entry now logs warnings as decision lines. processEnd.spec: on the code before, the new test finds no such line.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -51,6 +51,9 @@
   const sink = new LogSink({ maxBytes: settings.log.mostBytes })
   const log = pino({ level: settings.log.level, base: { logger: settings.instance } }, sink)
   const end = new ProcessEnd({ log, sink })
+  // Node's own listener writes to standard error, where an error that nobody handles would follow if it has no reader.
+  process.removeAllListeners('warning')
+  process.on('warning', (warning) => log.warn({ decision: 'warning', err: warning }))
   process.on('SIGHUP', () => checkChangedSettings(settings, path, log))
   for (const signal of IGNORED_SIGNALS) process.on(signal, () => log.info({ decision: 'signal', reason: `${signal}: ignored` }))
   const entry = await startEntry({ settings, log, record, formats, droppedLogLines: () => sink.dropped }).catch((error: unknown) => {
--- a/tests/processEnd.spec.ts
+++ b/tests/processEnd.spec.ts
@@ -118,6 +118,19 @@
     }
   })
 
+  // Guards against a warning of Node that ends an entry whose standard error cannot be written.
+  it('should not follow from warnings while standard error cannot be written', async () => {
+    const full = openSync('/dev/full', 'w')
+    const preface = `setTimeout(() => { for (let i = 0; i < ${TOO_MANY}; i++) process.emitWarning('odd ' + i) }, 1000)`
+    const program = run({ preface, stdio: ['ignore', 'pipe', full] })
+    closeSync(full)
+    expect(await program.endWithin(START_MS + GRACE_MS)).to.equal(undefined)
+    program.process.kill('SIGTERM')
+    expect(await program.ended).to.deep.equal({ code: 0, signal: null })
+    expect(program.lines().filter(({ decision }) => decision === 'warning')).to.have.length(TOO_MANY)
+    expect(program.lines().filter(({ decision }) => decision === 'unexpected-error')).to.deep.equal([])
+  })
+
   // Guards against a full disk ending an entry that records its events.
   for (const file of ['/dev/full', '/nonexistent/trace']) {
     it(`should go on if its events cannot be recorded (${file})`, async () => {
