--- a/packages/entry/src/runtime/httpListener.ts
+++ b/packages/entry/src/runtime/httpListener.ts
@@ -18,8 +18,10 @@
   port: number
   /** Most connections that callers may hold; above it, idle ones are closed and new ones refused. Unlimited if absent. */
   maxConnections?: number
-  /** Called for each connection that was closed because of `maxConnections`, and when the system refused to accept one. */
-  onConnectionLost?: (loss: ConnectionLoss | 'accept-failed') => void
+  /** Longest head of a request, in bytes; enough for the entry's own interfaces if absent. */
+  maxHeaderBytes?: number
+  /** Called for each connection that was closed because of a limit, and when the system refused to accept one. */
+  onConnectionLost?: (loss: ConnectionLoss | 'accept-failed' | 'answer-not-taken') => void
   /** Called with the error code and the caller's address when a request could not be read in time or parsed, and was rejected. */
   onRejected?: (code: string, caller: string) => void
   /** Called when a request is dropped because it was read after its connection had been rejected or announced to close. */
@@ -38,10 +40,14 @@
   closing: boolean
   /** The request that was read last. */
   lastRequest?: IncomingMessage
+  /** Responses that the caller has not taken yet. */
+  readonly responses: Set<ServerResponse>
 }
 
 /** Limits memory use. The request handlers enforce lower header limits and answer with a status of their own. */
-const MAX_HEADER_BYTES = 262_144
+const DEFAULT_MAX_HEADER_BYTES = 16_384
+/** A connection is closed if its caller takes no byte of an answer for so long. */
+const ANSWER_TIMEOUT_MS = 15_000
 const CONNECTION_CHECK_INTERVAL_MS = 250
 /** How long a rejected connection stays open, so that the caller can read the rejection before the connection is closed. */
 const REJECTED_LINGER_MS = 1000
@@ -60,6 +66,7 @@
   private readonly _connections = new WeakMap<Socket, ConnectionState>()
   /** Responses that callers have not taken yet. */
   private readonly _openResponses = new Set<ServerResponse>()
+  private readonly _answeredWaiters: Array<() => void> = []
   private readonly _limit: ConnectionLimit<Socket>
 
   constructor (listener: RequestListener, options: ListenerOptions) {
@@ -68,7 +75,9 @@
       maxConnections: options.maxConnections ?? Infinity, onClosed: (loss) => options.onConnectionLost?.(loss)
     })
     this._server = createServer({
-      maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS
+      maxHeaderSize: options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
+      requestTimeout: 0,
+      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS
     }, (request, response) => {
       const { socket } = request
       const connection = this._stateOf(socket)
@@ -84,7 +93,8 @@
     this._server.on('connection', (socket) => this._admit(socket))
     this._server.on('error', () => this._handleAcceptError())
     this._server.on('clientError', (error: NodeJS.ErrnoException, socket) => this._handleError(error, socket as Socket))
-    this._server.on('timeout', (socket) => this._closeIdle(socket))
+    this._server.timeout = ANSWER_TIMEOUT_MS
+    this._server.on('timeout', (socket) => this._handleTimeout(socket))
     this.setTimeouts(options)
   }
 
@@ -137,8 +147,7 @@
   /** Resolves when callers have taken all responses to the requests that have been read. */
   async answered (): Promise<void> {
     while (this._openResponses.size > 0) {
-      const [response] = this._openResponses
-      await new Promise((resolve) => response!.once('close', resolve))
+      await new Promise<void>((resolve) => this._answeredWaiters.push(resolve))
     }
   }
 
@@ -158,7 +167,11 @@
 
   private _admit (socket: Socket): void {
     if (!this._limit.add(socket)) return
-    socket.once('close', () => this._limit.remove(socket))
+    // Node does not close a response that waits for an earlier one on its connection.
+    socket.once('close', () => {
+      this._limit.remove(socket)
+      for (const response of this._stateOf(socket).responses) this._endResponse(response)
+    })
   }
 
   /** Some versions of Node report here that a connection could not be accepted, for example for want of a descriptor. */
@@ -174,7 +187,11 @@
     connection.lastRequest = request
     this._limit.markBusy(request.socket)
     this._openResponses.add(response)
-    response.once('close', () => this._openResponses.delete(response))
+    connection.responses.add(response)
+    response.once('close', () => {
+      connection.responses.delete(response)
+      this._endResponse(response)
+    })
     response.once('finish', () => {
       connection.unanswered -= 1
       if (connection.unanswered === 0) this._limit.markIdle(request.socket)
@@ -182,10 +199,15 @@
     })
   }
 
+  private _endResponse (response: ServerResponse): void {
+    this._openResponses.delete(response)
+    for (const resolve of this._answeredWaiters.splice(0)) resolve()
+  }
+
   private _stateOf (socket: Socket): ConnectionState {
     let connection = this._connections.get(socket)
     if (!connection) {
-      connection = { requestsRead: 0, unanswered: 0, closing: false }
+      connection = { requestsRead: 0, unanswered: 0, closing: false, responses: new Set() }
       this._connections.set(socket, connection)
     }
     return connection
@@ -215,6 +237,14 @@
     socket.once('close', () => clearTimeout(timer))
   }
 
+  /** A connection without input or output for a while waits for a server, or its caller does not take the answer, or it is idle. */
+  private _handleTimeout (socket: Socket): void {
+    if (this._stateOf(socket).unanswered === 0) return this._closeIdle(socket)
+    if (socket.writableLength === 0) return
+    this._options.onConnectionLost?.('answer-not-taken')
+    socket.destroy()
+  }
+
   private _closeIdle (socket: Socket): void {
     const { bytesRead } = socket
     afterPendingInput(() => {
