Register the entries also while the leader of the change feed has no callers' port

An entry whose callers' port is taken stays in the phase 'starting', but the others take it for the leader of the change feed, since only entries that leave are excluded. It followed the feed for them, yet it registered nobody in the store. While it led, entries that started without a living seed would not have found those that had joined since.

Cause: the registration waited for the phase 'ready', which used to mean no more than that all tables were read and a configuration was known. Now it asks for these two directly, and for an entry that does not leave.

--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -165,7 +165,7 @@
     if (this._now > 0 && now - this._now > MIN_PAUSE_MS) this.requests.processResumed(now)
     this._now = Math.max(this._now, now)
     this._handleEvent(event, this._now)
-    if (this.phase === 'starting' && this._canServe) this._enterPhase('ready', this._now)
+    if (this.phase === 'starting' && this._callerPortIsOpen && this._isUpToDate) this._enterPhase('ready', this._now)
     return this._outbox.take()
   }
 
@@ -205,8 +205,9 @@
     return { versions: this.replication.versions }
   }
 
-  private get _canServe (): boolean {
-    return this._callerPortIsOpen && this.replication.hasAllTables && this.declarations.gateway !== undefined
+  /** Whether this entry knows what the store holds, so that it can work for the others even if callers cannot reach it. */
+  private get _isUpToDate (): boolean {
+    return this.replication.hasAllTables && this.declarations.gateway !== undefined
   }
 
   private _handleEvent (event: Event, now: number): void {
@@ -236,7 +237,7 @@
     this._schedulerClient.tick(now)
     this.host.tick(now)
     this._statements.tick(now)
-    this._registration.tick(this.phase === 'ready' && this.replication.hasAllTables, now)
+    this._registration.tick(this.phase !== 'leaving' && this._isUpToDate, now)
     if (this.phase === 'ready' && !this.roster.self.isWarm && this._warmUp.ran(now)) this._announceWarm(now)
     this._exitIfIdle(now)
   }
--- a/tests/ports.spec.ts
+++ b/tests/ports.spec.ts
@@ -9,6 +9,7 @@
 import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
 import { pino } from 'pino'
+import { hash } from '@gooseberryspan/core'
 import type { EntryProcess } from '@gooseberryspan/entry'
 import { type Deployment, HOST, OPERATOR_TOKEN, send, smallDocument, useDeployment, waitUntil } from './fixtures/deployment.js'
 
@@ -94,10 +95,10 @@
   }
 
   /** Starts an entry beside one that is ready. */
-  async function startLate (numbers: Numbers): Promise<EntryProcess> {
+  async function startLate (numbers: Numbers, name = 'late'): Promise<EntryProcess> {
     const [first] = deployment.entries
     const log = pino({ level: 'info' }, { write: (line) => lines.push(JSON.parse(line)) })
-    return deployment.startEntry('late', 'a', { changes: settingsFor(numbers, [`${HOST}:${first!.ports.peers}`]), log })
+    return deployment.startEntry(name, 'a', { changes: settingsFor(numbers, [`${HOST}:${first!.ports.peers}`]), log })
   }
 
   function namedByFirst (): boolean {
@@ -169,6 +170,20 @@
     await waitUntil(() => late.node.core.roster.alive.length === 3)
   })
 
+  // Guards against entries that the store does not name, since they lead nobody to it while one of them has no port for callers.
+  it('should register the entries in the store while it leads the change feed without its callers port', async () => {
+    await deployment.start(smallDocument(), [{}], ['a'])
+    const score = (instance: string): number => hash(`watcher|${instance}`)
+    let name = 'late-0'
+    for (let index = 1; score(name) < score('entry-0'); index++) name = `late-${index}`
+    const numbers = await drawNumbers()
+    await hold('callers', numbers)
+    const late = await startLate(numbers, name)
+    await waitUntil(() => late.node.core.roles.leaderRank === 0 && late.node.core.roster.alive.length === 2)
+    await waitUntil(() => deployment.store.engine.rows('watchers').rows.some(({ value }) => value!.includes(`${numbers['peers-tcp']}`)))
+    expect(late.node.ready).to.equal(false)
+  })
+
   it('should wait for an address that the machine does not have yet', async () => {
     await deployment.start(smallDocument(), [{}], ['a'])
     const numbers = await drawNumbers()
