--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -3,7 +3,8 @@
 import { pino } from 'pino'
 import { ProcessEnd } from './reports/processEnd.js'
 import { LogSink } from './reports/logSink.js'
-import { readSettings, type Settings } from './settings.js'
+import { StopSignals } from './runtime/stopSignals.js'
+import { awaitSettings, readSettings, readUsableSettings, type Settings, type UsableSettings } from './settings.js'
 import { startEntry, type PlatformFormats } from './wiring.js'
 
 /** Options by which a platform adapts the program. */
@@ -35,44 +36,35 @@
     .showHelpAfterError()
   const { settings: path, check, record } = command.parse(argv).opts<CommandLineOptions>()
   if (path === undefined) return command.error('missing settings file: name it with --settings FILE', { exitCode: EXIT_INVALID_SETTINGS })
-  let settings: Settings
+  let usable: UsableSettings
   try {
-    settings = readSettings(path)
+    usable = check ? { settings: readSettings(path), leftOut: [] } : await awaitSettings(path)
   } catch (error) {
     process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`)
     process.exitCode = EXIT_INVALID_SETTINGS
     return
   }
   if (check) return void process.stdout.write('settings are valid\n')
-  await run(settings, path, record, program.formats)
+  await run(usable, path, record, program.formats)
 }
 
-async function run (settings: Settings, path: string, record: string | undefined, formats: PlatformFormats | undefined): Promise<void> {
+async function run (
+  { settings, leftOut }: UsableSettings, path: string, record: string | undefined, formats: PlatformFormats | undefined
+): Promise<void> {
   const sink = new LogSink({ maxBytes: settings.log.mostBytes })
   const log = pino({ level: settings.log.level, base: { logger: settings.instance } }, sink)
   const end = new ProcessEnd({ log, sink })
+  for (const reason of leftOut) log.warn({ decision: 'setting-left-out', reason })
   process.on('SIGHUP', () => checkChangedSettings(settings, path, log))
   for (const signal of IGNORED_SIGNALS) process.on(signal, () => log.info({ decision: 'signal', reason: `${signal}: ignored` }))
+  const signals = new StopSignals({ log, end: (code, reason) => end.exit(code, reason) })
   const entry = await startEntry({ settings, log, record, formats, droppedLogLines: () => sink.dropped }).catch((error: unknown) => {
     end.exit(EXIT_FAILURE, 'entry could not start', error)
   })
   if (!entry) return
   end.lastEvent = () => entry.node.lastEvent
-  let stopping = false
-  const stop = async (signal: string): Promise<void> => {
-    log.info({ decision: 'signal', reason: signal })
-    if (stopping) {
-      log.error({ decision: 'stop-cut', open: entry.node.open })
-      return end.exit(EXIT_FAILURE, 'second signal')
-    }
-    stopping = true
-    const isComplete = await entry.stop()
-    end.exit(isComplete ? 0 : EXIT_FAILURE, isComplete ? 'stopped' : 'stopped at the end of the grace time')
-  }
-  process.on('SIGTERM', () => void stop('SIGTERM'))
-  process.on('SIGINT', () => void stop('SIGINT'))
+  signals.started({ open: () => entry.node.open, stop: () => entry.stop() })
   entry.ended.catch(async (error: unknown) => {
-    stopping = true
     await entry.stop()
     end.exit(EXIT_FAILURE, 'supervisor gave up', error)
   })
@@ -81,7 +73,9 @@
 /** Settings take effect only at a start. Checks a changed file immediately, so that a mistake is reported before the next start. */
 function checkChangedSettings (settings: Settings, path: string, log: pino.Logger): void {
   try {
-    const changed = JSON.stringify(readSettings(path)) !== JSON.stringify(settings)
+    const { settings: read, leftOut } = readUsableSettings(path)
+    for (const reason of leftOut) log.warn({ decision: 'setting-left-out', reason })
+    const changed = JSON.stringify(read) !== JSON.stringify(settings)
     log.info({ decision: 'reload', reason: changed ? 'changed: takes effect at the next start' : 'unchanged' })
   } catch (error) {
     log.warn({ decision: 'reload', reason: error instanceof Error ? error.message : String(error) })
