--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -12,6 +12,7 @@
 import { BackendClient } from './backend/backendClient.js'
 import { ProbeClient } from './backend/probeClient.js'
 import { CallerListener } from './caller/callerListener.js'
+import { HoldBudget } from './caller/holdBudget.js'
 import type { Dialect } from './dialect.js'
 import { DirectoryListener } from './directory/directoryListener.js'
 import { operatorListener } from './operators/operatorListener.js'
@@ -23,11 +24,13 @@
 import { EntryNode, type DecisionObserver } from './runtime/entryNode.js'
 import { DescriptorBudget, readDescriptorLimit, type ListenerPort } from './runtime/descriptorBudget.js'
 import { EventRecorder } from './runtime/eventRecorder.js'
+import { MemoryBudget, readMemoryLimit } from './runtime/memoryBudget.js'
 import { HttpListener, type ListenerOptions } from './runtime/httpListener.js'
 import { REPORTING_RETRY, SERVING_RETRY } from './runtime/port.js'
 import { PortGate } from './runtime/portGate.js'
 import { Ports, type PortState } from './runtime/ports.js'
 import { Ticker } from './runtime/processes.js'
+import { UnexpectedErrors } from './runtime/unexpectedErrors.js'
 import { parseHostPort, type Settings } from './settings.js'
 import { StoreExecutor } from './store/storeExecutor.js'
 
@@ -58,11 +61,13 @@
 export interface EntryProcess {
   node: EntryNode
   store: Store
-  /** Resolves when the process has ended; rejects if its supervisor gave up. */
+  /** Resolves when the process has ended; rejects if its supervisor gave up or unexpected errors came too often. */
   ended: Promise<void>
+  /** Reports an error that nobody handled. The entry goes on unless there were too many. */
+  reportUnexpected (reason: string, error: unknown): void
   /** The ports, where the settings say 0 the one that the system chose. A port that only reports is absent until it listens. */
   ports: { callers: number, peers: number, operators?: number, metrics?: number }
-  /** Stops gracefully. Resolves with whether all open requests could finish. */
+  /** Stops gracefully, once for all calls. Resolves with whether all open requests could finish. */
   stop (): Promise<boolean>
   /** Ends immediately, as in a crash. */
   crash (): void
@@ -82,9 +87,13 @@
 const REGISTRATION_LAPSE_MS = 2300
 
 const CONNECTION_LOST = 'connection-closed'
+const NOT_HELD = 'not-held'
+/** Bounds the processor time for the requests that wait for a server. */
+const MAX_OPEN_REQUESTS = 1000
+const MAX_OPEN_REQUESTS_PER_CONNECTION = 32
 
 /** Options that limit the connections of one port. */
-type ConnectionLimits = Pick<ListenerOptions, 'maxConnections' | 'onConnectionLost'>
+type ConnectionLimits = Required<Pick<ListenerOptions, 'maxConnections' | 'onConnectionLost'>>
 
 /** What the reporters read. */
 interface ReportSources {
@@ -93,6 +102,7 @@
   datagrams: DatagramPort
   callerServer: HttpListener
   losses: LossReport
+  budget: HoldBudget
   limits: ConnectionLimits
   portStates: () => PortState[]
 }
@@ -112,16 +122,25 @@
   const callerAddress = parseHostPort(settings.callers.address)
   const losses = new LossReport({ log, now })
   const limits = connectionLimits(settings, losses)
+  const memory = new MemoryBudget(readMemoryLimit(settings.limits.memoryMb))
+  const budget = new HoldBudget({
+    maxBytes: memory.heldBytes,
+    maxRequests: MAX_OPEN_REQUESTS,
+    maxRequestsPerConnection: MAX_OPEN_REQUESTS_PER_CONNECTION,
+    onRefused: (reason) => losses.record(NOT_HELD, reason)
+  })
+  const callerLimits = limits('callers')
+  const maxHeaderBytes = memory.headerBytesFor(callerLimits.maxConnections)
   const onRejected = (reason: string, caller: string): void => log.info({ decision: 'malformed-request', reason, caller })
   const onError = (error: unknown): void => log.error({ err: error }, 'request failed with an internal error')
-  const onDropped = (caller: string): void => log.info({ decision: 'request-dropped', reason: 'connection-closing', caller })
+  const onDropped = (): void => losses.record('request-dropped', 'connection-closing')
   const { address: directoryAddress, readyAddress } = settings.directory
   const servesDirectory = [directoryAddress, readyAddress].some((address) => sharesCallerPort(settings, address))
   const callerServer = new HttpListener((request, response) => {
     const isDirectoryRequest = servesDirectory && components.directory!.serves(request.url ?? '/')
     const { listener } = isDirectoryRequest ? components.directory! : components.callers!
     listener(request, response)
-  }, { ...callerAddress, ...DEFAULT_TIMEOUTS, ...limits('callers'), onRejected, onDropped, onError })
+  }, { ...callerAddress, ...DEFAULT_TIMEOUTS, ...callerLimits, maxHeaderBytes, onRejected, onDropped, onError })
   const peerAddress = parseHostPort(settings.peers.address)
   const { token } = settings.peers
   const peerServer = new HttpListener(peerListener({ token, source: { stateFor: (query) => components.node!.stateFor(query) } }), {
@@ -140,13 +159,14 @@
   const decisionObserver: DecisionObserver = {
     onDecision: (line: DecisionLine) => decisionObservers.forEach((each) => each.onDecision(line))
   }
-  const recorder = options.record === undefined ? undefined : new EventRecorder(options.record, built.head)
+  const onRecordFailed = (error: Error): void => log.error({ decision: 'record-ended', err: error })
+  const recorder = options.record === undefined ? undefined : new EventRecorder(options.record, built.head, onRecordFailed)
   const node = new EntryNode({
     core: built.core, dialect: formats.dialect, log, logDecisions: settings.log.decisions, now, decisionObserver, recorder
   })
   components.node = node
   const closeAfter = (request: IncomingMessage): boolean => callerServer.closeAfter(request)
-  components.callers = new CallerListener({ node, holdBytes: settings.callers.holdBytes, closeAfter })
+  components.callers = new CallerListener({ node, holdBytes: settings.callers.holdBytes, budget, closeAfter })
   components.directory = new DirectoryListener({ node, keepSeconds: settings.directory.keepSeconds })
 
   const datagrams = new DatagramPort({
@@ -179,6 +199,7 @@
   const hasLeft = new Promise<void>((resolve) => {
     resolveLeft = resolve
   })
+  const unexpectedErrors = new UnexpectedErrors(log)
   node.connect({
     backends,
     probes,
@@ -197,6 +218,7 @@
       if (limits) callerServer.setTimeouts(limits)
     },
     left: () => resolveLeft(),
+    failed: (kind, error) => unexpectedErrors.report(`core: ${kind}`, error),
     rescheduleTick: () => ticker.reschedule()
   })
 
@@ -216,7 +238,8 @@
     })
   }
   const portStates = (): PortState[] => openPorts.states()
-  const reports = await createReporters(options, { node, client, datagrams, callerServer, losses, limits: limits('metrics'), portStates })
+  const sources = { node, client, datagrams, callerServer, losses, budget, limits: limits('metrics'), portStates }
+  const reports = await createReporters(options, sources)
   decisionObservers.push(...reports.decisionObservers)
   if (reports.port) {
     openPorts.addUnlessUsed('metrics', parseHostPort(settings.metrics.address!), reports.port, REPORTING_RETRY, (port) => {
@@ -246,7 +269,28 @@
     reports.close()
     await recorder?.close()
   }
-  const ended = root.start()
+  let stopped: Promise<boolean> | undefined
+  const stop = async (): Promise<boolean> => {
+    const graceEndsAt = now() + settings.stop.graceSeconds * 1000
+    log.info({ decision: 'stopping', open: node.open })
+    node.handle({ kind: 'stop' })
+    if (!gate.isOpen) resolveLeft()
+    await settlesWithin(hasLeft, graceEndsAt - EXIT_MARGIN_MS - now())
+    // A supervisor that gave up has stopped the ticker.
+    if (node.open > 0) node.handle({ kind: 'tick' })
+    // Slow callers still send their requests and receive answers.
+    await settlesWithin(callerServer.answered(), graceEndsAt - STOP_MARGIN_MS - now())
+    components.callers!.refuseUnread()
+    await settlesWithin(callerServer.answered(), graceEndsAt - EXIT_MARGIN_MS - now())
+    const cut = built.core.requests.brokenOff + callerServer.unanswered
+    built.core.invariants.check('stop-cuts-nothing', cut === 0, () => `${cut} requests at the stop limit`)
+    callerServer.cut()
+    peerServer.cut()
+    await settlesWithin(close(), graceEndsAt - now())
+    log.info({ decision: 'stopped', cut })
+    return cut === 0
+  }
+  const ended = Promise.race([root.start(), unexpectedErrors.exceeded])
   ended.catch(() => {})
   log.info({ decision: 'started', zone: settings.zone, ports, seed: built.head.seed })
 
@@ -254,22 +298,11 @@
     node,
     store,
     ended,
+    reportUnexpected: (reason, error) => unexpectedErrors.report(reason, error),
     ports,
-    stop: async () => {
-      const graceEndsAt = now() + settings.stop.graceSeconds * 1000
-      log.info({ decision: 'stopping', open: node.open })
-      node.handle({ kind: 'stop' })
-      if (!gate.isOpen) resolveLeft()
-      await settlesWithin(hasLeft, graceEndsAt - EXIT_MARGIN_MS - now())
-      // Slow callers still receive answers.
-      await settlesWithin(callerServer.answered(), graceEndsAt - EXIT_MARGIN_MS - now())
-      const cut = built.core.requests.brokenOff + callerServer.unanswered
-      built.core.invariants.check('stop-cuts-nothing', cut === 0, () => `${cut} requests at the stop limit`)
-      callerServer.cut()
-      peerServer.cut()
-      await settlesWithin(close(), graceEndsAt - now())
-      log.info({ decision: 'stopped', cut })
-      return cut === 0
+    stop: () => {
+      stopped ??= stop()
+      return stopped
     },
     crash: () => {
       callerServer.cut()
@@ -353,7 +386,7 @@
 
 /** Creates the reporters that the settings enable. Loads a reporter's library only if it is enabled. */
 async function createReporters (options: EntryProcessOptions, sources: ReportSources) {
-  const { node, client, datagrams, callerServer, losses, limits, portStates } = sources
+  const { node, client, datagrams, callerServer, losses, budget, limits, portStates } = sources
   const { metrics, instance } = options.settings
   const decisionObservers: DecisionObserver[] = []
   const children: Child[] = []
@@ -374,6 +407,8 @@
       peerMessages: () => datagrams.messages,
       callerConnections: () => callerServer.connections,
       connectionsClosed: () => losses.totalOf(CONNECTION_LOST),
+      heldBytes: () => budget.bytes,
+      notHeld: () => losses.totalOf(NOT_HELD),
       portStates
     })
     decisionObservers.push(prometheusMetrics)
