Mark a request as possibly run before its attempt is reported

An unexpected error in the report on an attempt lost the event, and with it that the server may have run the order: at the deadline its caller got 503, which says that it did not run and invites it to order again. The mark is now set first, so that the answer is unknown.

The new spec failed before: 503 where 502 or 504 is expected.

--- a/packages/core/src/requests/requestHandler.ts
+++ b/packages/core/src/requests/requestHandler.ts
@@ -6,7 +6,7 @@
 import type { Invariants } from '../invariants.js'
 import type { Roster } from '../members/roster.js'
 import {
-  UNUSED_REPORT, type AttemptReport, type Grant, type Purpose, type Refusal, type RefusalReason
+  UNUSED_REPORT, type AttemptOutcome, type AttemptReport, type Grant, type Purpose, type Refusal, type RefusalReason
 } from '../placement/placementRequest.js'
 import type { LocalRequestListener } from '../placement/placementDecisions.js'
 import type { SchedulerHost } from '../placement/schedulerHost.js'
@@ -45,6 +45,9 @@
 /** Other schedulers have replaced the unreachable ones after this time. */
 const NO_ANSWER_RETRY_AFTER_MS = 250
 
+/** Outcomes of an attempt after which the server may have run the request. */
+const MAY_HAVE_RUN: ReadonlySet<AttemptOutcome> = new Set<AttemptOutcome>(['answered', 'failed', 'failed-below', 'lost'])
+
 /** Accepts requests and ends each with exactly one answer or refusal. */
 export class RequestHandler implements LocalRequestListener {
   private readonly _options: RequestHandlerOptions
@@ -169,6 +172,7 @@
     const request = this._byAttempt.get(id)
     const attempt = request?.attempts.get(id)
     if (!request || !attempt) return
+    if (MAY_HAVE_RUN.has(report.outcome)) request.mayHaveRun = true
     this._removeAttempt(request, id)
     this._report(request, attempt.ask, attempt.server.id, report, now)
     if (report.outcome !== 'answered') this._log.attemptEnded(request, attempt, report, status)
@@ -308,12 +312,10 @@
       case 'answered': return this._answer(request, attempt, report, status, now)
       case 'failed-below': return this._answer(request, attempt, report, status, now)
       case 'failed':
-        request.mayHaveRun = true
         if (!request.spec.route.repeatable) return this._answer(request, attempt, report, status, now)
         request.fallbackAttempt = attempt.id
         return this._retryOrEnd(request, 'retry', 'shed', now)
       case 'lost':
-        request.mayHaveRun = true
         if (request.streaming) return this._end(request, 'lost', undefined, now)
         return this._retryOrEnd(request, 'retry', 'lost', now)
       case 'unreachable':
--- a/tests/unexpectedErrors.spec.ts
+++ b/tests/unexpectedErrors.spec.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai'
 import type { Event } from '@gooseberryspan/core'
 import type { EntryProcess } from '@gooseberryspan/entry'
-import { send, smallDocument, useDeployment, waitUntil, type Deployment } from './fixtures/deployment.js'
+import { REQUEST_ID, send, smallDocument, useDeployment, waitUntil, type Deployment } from './fixtures/deployment.js'
 
 /** Failures within a minute that a supervised process may have. */
 const MAX_FAILURES = 5
@@ -61,4 +61,21 @@
     const error = await entry!.ended.catch((reason: Error) => reason)
     expect((error as Error).message).to.contain('unforeseen')
   })
+
+  // Guards against a caller that repeats an order which a server has run.
+  it('should not make an order count as not run whose server ran it', async () => {
+    const [entry] = deployment.entries
+    const requests = entry!.node.core.requests as unknown as { _report: () => void }
+    requests._report = () => {
+      throw new Error('unforeseen')
+    }
+    for (const { faults } of deployment.backends) {
+      faults.answerFault = 'cut-reset'
+      faults.cutAtByte = 0
+    }
+    const headers = { ...DEADLINE, [REQUEST_ID]: 'ran' }
+    const answer = await send(entry!.ports.callers, 'POST', '/orders', headers, 'x').catch((error: Error) => error)
+    expect(deployment.truth.runCount('ran')).to.equal(1)
+    if (!(answer instanceof Error)) expect(answer.status).to.be.oneOf([502, 504])
+  })
 })
