--- a/packages/entry/src/caller/callerListener.ts
+++ b/packages/entry/src/caller/callerListener.ts
@@ -1,8 +1,9 @@
 /** Request handler of the port for callers. */
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { FailureOutcome, RequestSpec } from '@gooseberryspan/core'
+import { expiryOf, type FailureOutcome, type RequestSpec } from '@gooseberryspan/core'
 import { BadRequest } from '../errors.js'
+import { singleHeader } from '../headers.js'
 import type { EntryNode } from '../runtime/entryNode.js'
 import { readBody } from './body.js'
 import { Exchange } from './exchange.js'
@@ -19,6 +20,8 @@
   closeAfter: (request: IncomingMessage) => boolean
 }
 
+/** Reason of a refusal by a stopping entry, as for those of the core. */
+const STOPPING = 'not-run: stopping'
 const STOPPING_RETRY_AFTER_S = '0.1'
 const NO_CONFIGURATION_RETRY_AFTER_S = '0.25'
 
@@ -26,6 +29,8 @@
 export class CallerListener {
   private readonly _options: CallerListenerOptions
   private readonly _openRequests = new WeakMap<Socket, Set<number>>()
+  /** Refuse the requests whose bodies have not been read yet. */
+  private readonly _unread = new Set<() => void>()
   private readonly _holds = new WeakMap<Socket, Set<Hold>>()
 
   constructor (options: CallerListenerOptions) {
@@ -36,7 +41,11 @@
     const { node } = this._options
     response.on('error', () => {})
     const reject = (error: unknown): void => rejectBadRequest(response, error, node, () => this._isClosing(request))
-    if (!node.acceptsRequests) return reject(new BadRequest(503, 'entry', 'this entry is stopping'))
+    const refuse = (): void => {
+      node.report({ decision: 'refused', request: singleHeader(request.headers, node.dialect.headers.requestId), reason: STOPPING })
+      reject(new BadRequest(503, 'entry', 'this entry is stopping'))
+    }
+    if (!node.acceptsRequests) return refuse()
     const hold = this._openHold(request, response)
     if (typeof hold === 'string') return this._refuseOpening(hold, request, response)
     const startedAt = node.now
@@ -46,13 +55,16 @@
     } catch (error) {
       return reject(error)
     }
+    if (!node.core.plannedStop.leavesTimeFor(expiryOf(spec, startedAt))) return refuse()
+    this._unread.add(refuse)
     const mostBytes = node.core.declarations.limits!.bodyBytes
     const { holdBytes } = this._options
-    readBody(request, { holdBytes, mostBytes, timeoutMs: spec.deadlineMs, take: (bytes) => hold.take(bytes) }).then((body) => {
+    const limits = { holdBytes, mostBytes, timeoutMs: spec.deadlineMs, take: (bytes: number) => hold.take(bytes) }
+    readBody(request, limits).finally(() => this._unread.delete(refuse)).then((body) => {
       spec.replayable = body.rest === undefined
       spec.bodyBytes = body.length
       spec.deadlineMs -= node.now - startedAt
-      if (request.socket.destroyed) return
+      if (request.socket.destroyed || response.headersSent) return
       const isClosing = (): boolean => this._isClosing(request)
       const exchange = new Exchange({ request, response, spec, body, hold, dialect: node.dialect, isClosing })
       this._trackRequest(request, response, spec.id)
@@ -60,6 +72,12 @@
     }).catch(reject)
   }
 
+  /** Refuses the requests whose bodies have not been read yet. */
+  refuseUnread (): void {
+    for (const refuse of [...this._unread]) refuse()
+    this._unread.clear()
+  }
+
   private _isClosing (request: IncomingMessage): boolean {
     return this._options.node.closing && this._options.closeAfter(request)
   }
--- a/packages/entry/src/runtime/entryNode.ts
+++ b/packages/entry/src/runtime/entryNode.ts
@@ -48,6 +48,8 @@
   configured: () => void
   /** Called when this entry has left the other entries and may exit. */
   left: () => void
+  /** Called with an unexpected error in the core, and the kind of the event that was lost to it. */
+  failed: (kind: Event['kind'], error: unknown) => void
   /** Called after each event, since the core may need its next tick sooner than planned. */
   rescheduleTick: () => void
 }
@@ -132,6 +134,11 @@
     this.handle({ kind: 'request-arrived', request: exchange.spec })
   }
 
+  /** Counts and logs a decision that was made outside the core. */
+  report (line: DecisionLine): void {
+    this._reportDecision(line)
+  }
+
   callerDisconnected (request: number): void {
     if (this._exchanges.has(request)) this.handle({ kind: 'caller-left', request })
   }
@@ -163,7 +170,21 @@
     const now = this.now
     this._lastEvent = event.kind
     this._options.recorder?.record(event, now)
-    for (const effect of this.core.handle(event, now)) this._perform(effect)
+    for (const effect of this._decide(event, now)) this._perform(effect)
+  }
+
+  /** An unexpected error in the core costs the event. What the core had decided before still takes effect. */
+  private _decide (event: Event, now: number): Effect[] {
+    try {
+      return this.core.handle(event, now)
+    } catch (error) {
+      this._handlers.failed(event.kind, error)
+      if (event.kind === 'request-arrived') {
+        this._exchanges.get(event.request.id)?.abort()
+        this._discardRequest(event.request.id)
+      }
+      return this.core.takeEffects()
+    }
   }
 
   /** Executes an effect. If that fails, only the request or probe that the effect belongs to ends. */
@@ -214,6 +235,7 @@
       case 'dispatch': return this._dispatch(effect)
       case 'answer': return this._answer(effect.request, effect.attempt)
       case 'refuse': return this._refuse(effect)
+      case 'discard': return this._discardRequest(effect.request)
       case 'cancel':
         this._answers.delete(effect.attempt)
         return this._handlers.backends.cancel(effect.attempt)
@@ -238,15 +260,13 @@
       whole: (answer) => this._keepAnswer(request, attempt, answer),
       large: (answer, done) => this._stream(attempt, exchange, answer, done),
       stated: (statement) => this._stated(effect.server, statement),
-      ended: (report, status) => {
-        this.handle({ kind: 'attempt-ended', attempt, report, status })
-        if (!this.core.requests.isOpen(request)) this._discardRequest(request)
-      }
+      ended: (report, status) => this.handle({ kind: 'attempt-ended', attempt, report, status })
     })
   }
 
   /** Keeps each answer until its request ends: an error answer may turn out to be the best one available. */
   private _keepAnswer (request: number, attempt: number, answer: Answer): void {
+    if (!this._exchanges.has(request)) return
     this._answers.set(attempt, answer)
     const attempts = this._answeredAttempts.get(request)
     if (attempts) attempts.push(attempt)
--- a/packages/entry/src/runtime/memoryBudget.ts
+++ b/packages/entry/src/runtime/memoryBudget.ts
@@ -4,7 +4,7 @@
 const BYTES_PER_MB = 1_048_576
 /** Parts of the memory. The rest is for the program, its heap, connections and buffers of the system. */
 const HELD_SHARE = 1 / 4
-const HEAD_SHARE = 1 / 8
+const HEAD_SHARE = 3 / 8
 const MIN_HEADER_BYTES = 16_384
 const MAX_HEADER_BYTES = 262_144
 
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -30,6 +30,7 @@
 import { PortGate } from './runtime/portGate.js'
 import { Ports, type PortState } from './runtime/ports.js'
 import { Ticker } from './runtime/processes.js'
+import { UnexpectedErrors } from './runtime/unexpectedErrors.js'
 import { parseHostPort, type Settings } from './settings.js'
 import { StoreExecutor } from './store/storeExecutor.js'
 
@@ -60,11 +61,13 @@
 export interface EntryProcess {
   node: EntryNode
   store: Store
-  /** Resolves when the process has ended; rejects if its supervisor gave up. */
+  /** Resolves when the process has ended; rejects if its supervisor gave up or unexpected errors came too often. */
   ended: Promise<void>
+  /** Reports an error that nobody handled. The entry goes on unless there were too many. */
+  reportUnexpected (reason: string, error: unknown): void
   /** The ports, where the settings say 0 the one that the system chose. A port that only reports is absent until it listens. */
   ports: { callers: number, peers: number, operators?: number, metrics?: number }
-  /** Stops gracefully. Resolves with whether all open requests could finish. */
+  /** Stops gracefully, once for all calls. Resolves with whether all open requests could finish. */
   stop (): Promise<boolean>
   /** Ends immediately, as in a crash. */
   crash (): void
@@ -156,7 +159,8 @@
   const decisionObserver: DecisionObserver = {
     onDecision: (line: DecisionLine) => decisionObservers.forEach((each) => each.onDecision(line))
   }
-  const recorder = options.record === undefined ? undefined : new EventRecorder(options.record, built.head)
+  const onRecordFailed = (error: Error): void => log.error({ decision: 'record-ended', err: error })
+  const recorder = options.record === undefined ? undefined : new EventRecorder(options.record, built.head, onRecordFailed)
   const node = new EntryNode({
     core: built.core, dialect: formats.dialect, log, logDecisions: settings.log.decisions, now, decisionObserver, recorder
   })
@@ -195,6 +199,7 @@
   const hasLeft = new Promise<void>((resolve) => {
     resolveLeft = resolve
   })
+  const unexpectedErrors = new UnexpectedErrors(log)
   node.connect({
     backends,
     probes,
@@ -213,6 +218,7 @@
       if (limits) callerServer.setTimeouts(limits)
     },
     left: () => resolveLeft(),
+    failed: (kind, error) => unexpectedErrors.report(`core: ${kind}`, error),
     rescheduleTick: () => ticker.reschedule()
   })
 
@@ -232,9 +238,8 @@
     })
   }
   const portStates = (): PortState[] => openPorts.states()
-  const reports = await createReporters(options, {
-    node, client, datagrams, callerServer, losses, budget, limits: limits('metrics'), portStates
-  })
+  const sources = { node, client, datagrams, callerServer, losses, budget, limits: limits('metrics'), portStates }
+  const reports = await createReporters(options, sources)
   decisionObservers.push(...reports.decisionObservers)
   if (reports.port) {
     openPorts.addUnlessUsed('metrics', parseHostPort(settings.metrics.address!), reports.port, REPORTING_RETRY, (port) => {
@@ -264,7 +269,28 @@
     reports.close()
     await recorder?.close()
   }
-  const ended = root.start()
+  let stopped: Promise<boolean> | undefined
+  const stop = async (): Promise<boolean> => {
+    const graceEndsAt = now() + settings.stop.graceSeconds * 1000
+    log.info({ decision: 'stopping', open: node.open })
+    node.handle({ kind: 'stop' })
+    if (!gate.isOpen) resolveLeft()
+    await settlesWithin(hasLeft, graceEndsAt - EXIT_MARGIN_MS - now())
+    // A supervisor that gave up has stopped the ticker.
+    if (node.open > 0) node.handle({ kind: 'tick' })
+    // Slow callers still send their requests and receive answers.
+    await settlesWithin(callerServer.answered(), graceEndsAt - STOP_MARGIN_MS - now())
+    components.callers!.refuseUnread()
+    await settlesWithin(callerServer.answered(), graceEndsAt - EXIT_MARGIN_MS - now())
+    const cut = built.core.requests.brokenOff + callerServer.unanswered
+    built.core.invariants.check('stop-cuts-nothing', cut === 0, () => `${cut} requests at the stop limit`)
+    callerServer.cut()
+    peerServer.cut()
+    await settlesWithin(close(), graceEndsAt - EXIT_MARGIN_MS / 2 - now())
+    log.info({ decision: 'stopped', cut })
+    return cut === 0
+  }
+  const ended = Promise.race([root.start(), unexpectedErrors.exceeded])
   ended.catch(() => {})
   log.info({ decision: 'started', zone: settings.zone, ports, seed: built.head.seed })
 
@@ -272,22 +298,11 @@
     node,
     store,
     ended,
+    reportUnexpected: (reason, error) => unexpectedErrors.report(reason, error),
     ports,
-    stop: async () => {
-      const graceEndsAt = now() + settings.stop.graceSeconds * 1000
-      log.info({ decision: 'stopping', open: node.open })
-      node.handle({ kind: 'stop' })
-      if (!gate.isOpen) resolveLeft()
-      await settlesWithin(hasLeft, graceEndsAt - EXIT_MARGIN_MS - now())
-      // Slow callers still receive answers.
-      await settlesWithin(callerServer.answered(), graceEndsAt - EXIT_MARGIN_MS - now())
-      const cut = built.core.requests.brokenOff + callerServer.unanswered
-      built.core.invariants.check('stop-cuts-nothing', cut === 0, () => `${cut} requests at the stop limit`)
-      callerServer.cut()
-      peerServer.cut()
-      await settlesWithin(close(), graceEndsAt - now())
-      log.info({ decision: 'stopped', cut })
-      return cut === 0
+    stop: () => {
+      stopped ??= stop()
+      return stopped
     },
     crash: () => {
       callerServer.cut()
