Send nothing to the store once its client is closed

While a stopping entry closed the client, a reader could still send a read on it, for whose held-back answer the exit would wait.

A closed HttpClient rejects at once. The new spec failed before, since the request was sent, and passes.

--- a/packages/store/src/httpClient.ts
+++ b/packages/store/src/httpClient.ts
@@ -33,6 +33,7 @@
   private readonly _agent = new Agent({ keepAlive: true, maxSockets: 8, timeout: IDLE_SOCKET_TIMEOUT_MS })
   private readonly _bucket: TokenBucket
   private readonly _options: HttpClientOptions
+  private _closed = false
 
   constructor (options: HttpClientOptions) {
     this._options = options
@@ -42,6 +43,7 @@
 
   /** Sends one request and reads the complete response. A connection whose request times out is closed and not reused. */
   send (method: string, path: string, { body, extraMs = 0 }: { body?: string, extraMs?: number } = {}): Promise<HttpResponse> {
+    if (this._closed) return Promise.reject(new StoreUnavailable('the client is closed'))
     if (!this._bucket.take(performance.now())) {
       return Promise.reject(new StoreBudgetSpent('more than %d requests a second to the store', this._options.requestsPerSecond))
     }
@@ -73,7 +75,9 @@
     this._countedBytes.set(socket, total)
   }
 
+  /** Ends open requests and sends no further ones. */
   close (): void {
+    this._closed = true
     this._agent.destroy()
   }
 }
--- a/tests/store.spec.ts
+++ b/tests/store.spec.ts
@@ -86,6 +86,14 @@
     expect(errors.filter((error) => error.name === 'StoreBudgetSpent' || /more than/.test(error.message))).to.have.length(6)
     small.close()
   })
+
+  // Guards against a read that a stopping process sends while its client closes, and whose answer its exit then awaits.
+  it('should send nothing once it is closed', async () => {
+    const small = new HttpClient({ url: 'http://127.0.0.1:1', timeoutMs: 100, requestsPerSecond: 10 })
+    small.close()
+    expect((await failure(small.send('GET', '/'))).message).to.include('closed')
+    expect(small.requests).to.equal(0)
+  })
 })
 
 describe('replica', () => {
