--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -54,6 +54,9 @@
   const sink = new LogSink({ maxBytes: settings.log.mostBytes })
   const log = pino({ level: settings.log.level, base: { logger: settings.instance } }, sink)
   const end = new ProcessEnd({ log, sink })
+  // Node's own listener writes to standard error, where an error that nobody handles would follow if it has no reader.
+  process.removeAllListeners('warning')
+  process.on('warning', (warning) => log.warn({ decision: 'warning', err: warning }))
   for (const reason of leftOut) log.warn({ decision: 'setting-left-out', reason })
   process.on('SIGHUP', () => checkChangedSettings(settings, path, log))
   for (const signal of IGNORED_SIGNALS) process.on(signal, () => log.info({ decision: 'signal', reason: `${signal}: ignored` }))
@@ -63,10 +66,11 @@
   })
   if (!entry) return
   end.lastEvent = () => entry.node.lastEvent
+  end.unexpected = (origin, error) => entry.reportUnexpected(origin, error)
   signals.started({ open: () => entry.node.open, stop: () => entry.stop() })
   entry.ended.catch(async (error: unknown) => {
     await entry.stop()
-    end.exit(EXIT_FAILURE, 'supervisor gave up', error)
+    end.exit(EXIT_FAILURE, 'too many failures', error)
   })
 }
 
