Write the log to a socket without waiting for its reader

Cause: only pipes and terminals were opened without blocking; a write to a full socket held a thread of the pool, for which an exit waits. The mode of a socket is now changed, so that its writes fail like the others and the last lines are dropped after 250 ms.

The new spec failed before (signal SIGKILL instead of code 0).

--- a/packages/entry/src/reports/logSink.ts
+++ b/packages/entry/src/reports/logSink.ts
@@ -1,5 +1,6 @@
 /** Buffered output of log lines. It never blocks the process, and drops lines when the reader is too slow. */
 import { closeSync, constants, fstatSync, openSync, write, writeSync } from 'node:fs'
+import { Socket } from 'node:net'
 
 /** Options of a `LogSink`. */
 export interface LogSinkOptions {
@@ -15,6 +16,7 @@
 /** Longest time for the last lines. It fits into what is left of the grace time after the last request was cut. */
 const END_TIMEOUT_MS = 250
 const NEWLINE = 10
+const sockets: Socket[] = []
 
 /** Collects lines and writes them in few system calls. */
 export class LogSink {
@@ -122,19 +124,26 @@
   } catch {
     // The reader is gone or too slow.
   }
-  if (ownDescriptor !== undefined) closeSync(ownDescriptor)
+  if (ownDescriptor !== undefined && ownDescriptor !== descriptor) closeSync(ownDescriptor)
 }
 
 /**
- * Opens a pipe or terminal once more, so that writes to it fail instead of waiting for its reader. The mode of an inherited descriptor is
- * shared with other processes, so it stays as it is. Returns undefined for files and sockets, and where opening fails.
+ * Makes writes fail instead of waiting for a reader. A pipe or terminal is opened once more, since the mode of an inherited descriptor is
+ * shared with other processes; a socket can't be, so its own mode changes. Returns undefined for files, and where opening fails.
  */
 function openNonBlocking (descriptor: number): number | undefined {
   try {
     const status = fstatSync(descriptor)
+    if (status.isSocket()) return nonBlockingSocket(descriptor)
     if (!status.isFIFO() && !status.isCharacterDevice()) return undefined
     return openSync(`/dev/fd/${descriptor}`, constants.O_WRONLY | constants.O_NONBLOCK | constants.O_NOCTTY)
   } catch {
     return undefined
   }
 }
+
+/** Node changes the mode of a descriptor that it takes for a socket. The socket must live on, since it would close the descriptor. */
+function nonBlockingSocket (descriptor: number): number {
+  sockets.push(new Socket({ fd: descriptor, readable: false, writable: false }))
+  return descriptor
+}
--- a/tests/processEnd.spec.ts
+++ b/tests/processEnd.spec.ts
@@ -1,12 +1,13 @@
 /** What a process that ends leaves in its log, and whether its log can keep it from ending. */
 import { execFileSync } from 'node:child_process'
+import { once } from 'node:events'
 import { closeSync, constants, mkdtempSync, openSync, rmSync, writeSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { expect } from 'chai'
 import { SeededRandom } from '@gooseberryspan/core'
 import { StoreServer } from '@gooseberryspan/standins'
-import { HOST, send } from './fixtures/deployment.js'
+import { HOST, openRaw, send } from './fixtures/deployment.js'
 import { EntryProgram, type EntryProgramOptions } from './fixtures/entryProgram.js'
 
 /** Grace time of the fixture's settings. */
@@ -101,6 +102,19 @@
     })
   }
 
+  // Guards against a socket behind the log, as of a log service, that is full and keeps a process from ending.
+  it('should end after a stop while nobody reads the socket of its log', async () => {
+    const program = run()
+    const { callers } = await program.started()
+    program.process.stdout!.pause()
+    for (let count = 0; count < 4000; count++) await openRaw(callers!, 'malformed\r\n\r\n').ended
+    const exit = once(program.process, 'exit')
+    const startedAt = performance.now()
+    program.process.kill('SIGTERM')
+    expect(await exit).to.deep.equal([0, null])
+    expect(performance.now() - startedAt).to.be.below(GRACE_MS)
+  })
+
   // Guards against a signal that rotates logs or asks for a debugger ending an entry, or opening a port and descriptors in it.
   it('should go on after signals that ask for nothing', async () => {
     const program = run()
