--- a/tests/descriptors.spec.ts
+++ b/tests/descriptors.spec.ts
@@ -3,7 +3,7 @@
 import { ConnectionLimit, DescriptorBudget, LossReport, parseDescriptorLimit, readDescriptorLimit } from '@gooseberryspan/entry'
 import { pino } from 'pino'
 import { Deployment, openRaw, send, smallDocument, useDeployment, waitUntil, type RawConnection } from './fixtures/deployment.js'
-import { SpawnedEntry } from './fixtures/spawnedEntry.js'
+import { EntryProgram } from './fixtures/entryProgram.js'
 
 /** A connection that records whether it was closed. */
 class RecordedConnection {
@@ -90,25 +90,25 @@
     return deployment.start(smallDocument(), [{}, {}], [])
   })
 
-  let entry: SpawnedEntry
+  let entry: EntryProgram
   let connections: RawConnection[] = []
   afterEach(() => {
-    entry.kill()
+    entry.dispose()
     for (const { socket } of connections.splice(0)) socket.destroy()
   })
 
   it('should answer on all ports while callers hold more connections than it has descriptors', async () => {
-    entry = new SpawnedEntry({ storeUrl: deployment.url, descriptors: DESCRIPTORS })
-    const ports = await entry.ports()
-    while ((await send(ports.callers, 'GET', '/orders/1')).status !== 200) await new Promise((resolve) => setTimeout(resolve, 50))
-    connections = Array.from({ length: 3 * DESCRIPTORS }, () => openRaw(ports.callers))
+    entry = new EntryProgram({ url: deployment.url, descriptors: DESCRIPTORS })
+    const ports = await entry.started()
+    while ((await send(ports.callers!, 'GET', '/orders/1')).status !== 200) await new Promise((resolve) => setTimeout(resolve, 50))
+    connections = Array.from({ length: 3 * DESCRIPTORS }, () => openRaw(ports.callers!))
     await waitUntil(() => connections.filter(({ socket }) => socket.destroyed).length > DESCRIPTORS)
     for (let count = 0; count < 20; count++) {
-      expect((await send(ports.callers, 'GET', '/orders/1')).status).to.equal(200)
-      const metrics = await send(ports.metrics, 'GET', '/metrics')
+      expect((await send(ports.callers!, 'GET', '/orders/1')).status).to.equal(200)
+      const metrics = await send(ports.metrics!, 'GET', '/metrics')
       expect(Number(/^gooseberryspan_connections_closed (\d+)/m.exec(metrics.text)![1])).to.be.above(DESCRIPTORS)
     }
-    expect(entry.end).to.equal(undefined)
+    expect(entry.isRunning).to.equal(true)
     expect(entry.decisions('connection-closed').length).to.be.within(1, 10)
   })
 })
--- a/tests/memory.spec.ts
+++ b/tests/memory.spec.ts
@@ -4,7 +4,7 @@
 import { PassThrough } from 'node:stream'
 import { Hold, HoldBudget, MemoryBudget, readBody, type HoldRefusal } from '@gooseberryspan/entry'
 import { Deployment, openRaw, send, smallDocument, useDeployment, waitUntil, type RawConnection } from './fixtures/deployment.js'
-import { SpawnedEntry } from './fixtures/spawnedEntry.js'
+import { EntryProgram } from './fixtures/entryProgram.js'
 
 const BYTES_PER_MB = 1_048_576
 /** The smallest instance of the users' sites, in MiB. */
@@ -81,22 +81,22 @@
   const UPLOADS = 400
   const UPLOAD_BYTES = 1_040_000
   let deployment: Deployment
-  let entry: SpawnedEntry
+  let entry: EntryProgram
   let connections: RawConnection[] = []
   useDeployment((provided) => {
     deployment = provided
     return deployment.start(smallDocument(), [{}, {}], [])
   })
   afterEach(() => {
-    entry.kill()
+    entry.dispose()
     for (const { socket } of connections.splice(0)) socket.destroy()
   })
 
   async function startEntry (): Promise<number> {
-    entry = new SpawnedEntry({ storeUrl: deployment.url, settings: { limits: { memoryMb: INSTANCE_MB } } })
-    const ports = await entry.ports()
-    while ((await send(ports.callers, 'GET', '/orders/1')).status !== 200) await new Promise((resolve) => setTimeout(resolve, 50))
-    return ports.callers
+    entry = new EntryProgram({ url: deployment.url, settings: { limits: { memoryMb: INSTANCE_MB } } })
+    const ports = await entry.started()
+    while ((await send(ports.callers!, 'GET', '/orders/1')).status !== 200) await new Promise((resolve) => setTimeout(resolve, 50))
+    return ports.callers!
   }
 
   it('should refuse uploads rather than hold more than its memory', async () => {
@@ -120,7 +120,7 @@
       last = await send(port, 'POST', '/orders/1', {}, 'u'.repeat(UPLOAD_BYTES))
     }
     expect(last.status).to.equal(200)
-    expect(entry.end).to.equal(undefined)
+    expect(entry.isRunning).to.equal(true)
   })
 
   it('should refuse pipelined requests beyond a limit and stay responsive', async () => {
@@ -134,6 +134,6 @@
       expect(text).to.match(/connection: close/i)
     }
     while ((await send(port, 'GET', '/orders/1')).status !== 200) await new Promise((resolve) => setTimeout(resolve, 50))
-    expect(entry.end).to.equal(undefined)
+    expect(entry.isRunning).to.equal(true)
   })
 })
