Keep what a request holds until its server has answered, and bound the wait for a body by its route

A hold has two users now, the caller's response and the core, and ends with the last one.

A stalled upload was waited for until its caller's deadline, whatever the route allows, and held its memory meanwhile; 408 comes at the route's time now. An unexpected error while a request was being ended left its caller without an answer and the request open for ever; it now ends at the next tick, as unknown if a server may have it, and is discarded when its caller leaves. An error in an address query is answered 500. Heads of 32 KiB are allowed whatever the number of descriptors, which bounds the connections by memory.

Found by review.

--- a/packages/core/src/requests/requestHandler.ts
+++ b/packages/core/src/requests/requestHandler.ts
@@ -112,7 +112,7 @@
   /** Handles a closed caller connection. Cancels attempts of repeatable requests; attempts of other requests run to their end. */
   callerLeft (id: number, now: number): void {
     const request = this._requests.get(id)
-    if (!request) return
+    if (!request) return this._discard(id)
     request.callerLeft = true
     this._options.outbox.log({ decision: 'caller-left', request: request.spec.label, count: request.attempts.size })
     this._withdrawAll(request, now)
@@ -420,10 +420,10 @@
   }
 
   private _close (request: OpenRequest, now: number): void {
-    const known = this._requests.delete(request.spec.id)
-    this._options.invariants.check('one-answer', known, () => `${request.spec.label} had already ended`)
     this._withdrawAll(request, now)
     this._cancelAll(request, now)
+    const known = this._requests.delete(request.spec.id)
+    this._options.invariants.check('one-answer', known, () => `${request.spec.label} had already ended`)
   }
 
   private _withdrawAll (request: OpenRequest, now: number): void {
@@ -436,6 +436,7 @@
   private _cancelAll (request: OpenRequest, now: number, except?: number): void {
     for (const attempt of [...request.attempts.values()]) {
       if (attempt.id === except) continue
+      request.mayHaveRun = true
       this._removeAttempt(request, attempt.id)
       this._options.outbox.put({ kind: 'cancel', attempt: attempt.id })
       this._report(request, attempt.ask, attempt.server.id, { outcome: 'cancelled', tookMs: now - attempt.sentAt }, now)
--- a/packages/entry/src/caller/callerListener.ts
+++ b/packages/entry/src/caller/callerListener.ts
@@ -59,7 +59,8 @@
     this._unread.add(refuse)
     const mostBytes = node.core.declarations.limits!.bodyBytes
     const { holdBytes } = this._options
-    const limits = { holdBytes, mostBytes, timeoutMs: spec.deadlineMs, take: (bytes: number) => hold.take(bytes) }
+    const timeoutMs = expiryOf(spec, startedAt) - startedAt
+    const limits = { holdBytes, mostBytes, timeoutMs, take: (bytes: number) => hold.take(bytes) }
     readBody(request, limits).finally(() => this._unread.delete(refuse)).then((body) => {
       spec.replayable = body.rest === undefined
       spec.bodyBytes = body.length
@@ -68,6 +69,7 @@
       const isClosing = (): boolean => this._isClosing(request)
       const exchange = new Exchange({ request, response, spec, body, hold, dialect: node.dialect, isClosing })
       this._trackRequest(request, response, spec.id)
+      hold.retain()
       node.acceptRequest(exchange)
     }).catch(reject)
   }
@@ -89,7 +91,7 @@
     rejectBadRequest(response, new BadRequest(503, 'entry', 'too many requests are open'), node, isClosing)
   }
 
-  /** Holds memory for a request until its answer has been taken or its connection has closed. */
+  /** Holds memory for a request until its answer has been taken or its connection has closed, and the core has ended it. */
   private _openHold ({ socket }: IncomingMessage, response: ServerResponse): Hold | HoldRefusal {
     const hold = this._options.budget.open(socket)
     if (typeof hold === 'string') return hold
@@ -101,13 +103,13 @@
       // Node does not close a response that waits for an earlier one on its connection.
       socket.once('close', () => {
         for (const each of openHolds) each.release()
+        openHolds.clear()
       })
     }
     const openHolds = holds
     openHolds.add(hold)
     response.once('close', () => {
-      openHolds.delete(hold)
-      hold.release()
+      if (openHolds.delete(hold)) hold.release()
     })
     return hold
   }
--- a/packages/entry/src/caller/holdBudget.ts
+++ b/packages/entry/src/caller/holdBudget.ts
@@ -62,12 +62,12 @@
   }
 }
 
-/** What is held for one request, until it is released as a whole. */
+/** What is held for one request, until all its users have released it: the caller's response, and the core from its arrival to its end. */
 export class Hold {
   private readonly _take: (bytes: number) => boolean
   private readonly _release: (bytes: number) => void
   private _bytes = 0
-  private _released = false
+  private _users = 1
 
   constructor (take: (bytes: number) => boolean, release: (bytes: number) => void) {
     this._take = take
@@ -76,15 +76,20 @@
 
   /** Holds further bytes. Returns whether there is room for them. */
   take (bytes: number): boolean {
-    if (this._released || !this._take(bytes)) return false
+    if (this._users === 0 || !this._take(bytes)) return false
     this._bytes += bytes
     return true
   }
 
-  /** Releases the request and all its bytes; further calls have no effect. */
+  /** Adds a user. */
+  retain (): void {
+    this._users += 1
+  }
+
+  /** Ends the use by one user. The last one releases the request and all its bytes; further calls have no effect. */
   release (): void {
-    if (this._released) return
-    this._released = true
-    this._release(this._bytes)
+    if (this._users === 0) return
+    this._users -= 1
+    if (this._users === 0) this._release(this._bytes)
   }
 }
--- a/packages/entry/src/directory/directoryListener.ts
+++ b/packages/entry/src/directory/directoryListener.ts
@@ -33,7 +33,12 @@
     response.on('error', () => {})
     switch (path) {
       case paths.ready: return sendJson(response, node.ready ? 200 : 503, { ready: node.ready })
-      case paths.addresses: return void this._answerAddressQuery(request, response, new URLSearchParams(query))
+      case paths.addresses:
+        this._answerAddressQuery(request, response, new URLSearchParams(query)).catch((error: unknown) => {
+          node.log.error({ err: error }, 'address query failed with an internal error')
+          if (!response.headersSent) sendJson(response, 500, { error: 'internal error' })
+        })
+        return
       case STATUS_PATH: return sendJson(response, 200, node.status())
       case HEALTH_PATH: return sendJson(response, 200, { healthy: true })
       default: return sendJson(response, 404, { error: `no ${path}` })
--- a/packages/entry/src/runtime/entryNode.ts
+++ b/packages/entry/src/runtime/entryNode.ts
@@ -291,6 +291,7 @@
   }
 
   private _discardRequest (request: number): void {
+    this._exchanges.get(request)?.hold.release()
     this._exchanges.delete(request)
     for (const attempt of this._answeredAttempts.get(request) ?? []) this._answers.delete(attempt)
     this._answeredAttempts.delete(request)
--- a/packages/entry/src/runtime/memoryBudget.ts
+++ b/packages/entry/src/runtime/memoryBudget.ts
@@ -5,7 +5,7 @@
 /** Parts of the memory. The rest is for the program, its heap, connections and buffers of the system. */
 const HELD_SHARE = 1 / 4
 const HEAD_SHARE = 3 / 8
-const MIN_HEADER_BYTES = 16_384
+const MIN_HEADER_BYTES = 32_768
 const MAX_HEADER_BYTES = 262_144
 
 /** Computes how much memory callers may occupy. */
@@ -20,6 +20,11 @@
     this._headBytes = bytes * HEAD_SHARE
   }
 
+  /** Most connections whose heads the memory can bear. */
+  get maxConnections (): number {
+    return Math.max(1, Math.floor(this._headBytes / MIN_HEADER_BYTES))
+  }
+
   /** Returns the longest head of a request, in bytes, if so many connections may each hold one that is incomplete. */
   headerBytesFor (connections: number): number {
     return Math.min(MAX_HEADER_BYTES, Math.max(MIN_HEADER_BYTES, Math.floor(this._headBytes / connections)))
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -130,6 +130,7 @@
     onRefused: (reason) => losses.record(NOT_HELD, reason)
   })
   const callerLimits = limits('callers')
+  callerLimits.maxConnections = Math.min(callerLimits.maxConnections, memory.maxConnections)
   const maxHeaderBytes = memory.headerBytesFor(callerLimits.maxConnections)
   const onRejected = (reason: string, caller: string): void => log.info({ decision: 'malformed-request', reason, caller })
   const onError = (error: unknown): void => log.error({ err: error }, 'request failed with an internal error')
--- a/tests/unexpectedErrors.spec.ts
+++ b/tests/unexpectedErrors.spec.ts
@@ -78,4 +78,22 @@
     expect(deployment.truth.runCount('ran')).to.equal(1)
     if (!(answer instanceof Error)) expect(answer.status).to.be.oneOf([502, 504])
   })
+
+  // Guards against a caller without an answer, and a request that is kept for ever.
+  it('should not leave a request open whose end it interrupted', async () => {
+    const [entry] = deployment.entries
+    const { node } = entry!
+    const requests = node.core.requests as unknown as { _report: (...values: unknown[]) => void }
+    const report = requests._report.bind(requests)
+    let failed = false
+    requests._report = (...values) => {
+      if (failed) return report(...values)
+      failed = true
+      throw new Error('unforeseen')
+    }
+    for (const { faults } of deployment.backends) faults.answerFault = 'hang'
+    const answer = await send(entry!.ports.callers, 'POST', '/orders', DEADLINE, 'x')
+    expect([answer.status, failed]).to.deep.equal([504, true])
+    await waitUntil(() => node.open === 0)
+  })
 })
