Break the two new promises of requests on purpose

Cause: a promise whose spec can't fail proves nothing, and one mutation quoted a line that has moved. Change: the mutations of 'discard' and of the rule for a stop, and the line of one-answer as it is built now.

--- a/utils/mutations.mjs
+++ b/utils/mutations.mjs
@@ -43,7 +43,7 @@
   ['at-most-once', 'requests/requestHandler.js', 'if (request.mayHaveRun && (!route.repeatable || retrySpent))', 'if (false)', [
     ['requests/requestHandler.js', "if (!request.spec.route.repeatable && request.mayHaveRun)\n            return 'may-have-run';", '']
   ]],
-  ['one-answer', 'requests/requestHandler.js', 'this._close(request, now);\n        this._options.outbox.log({\n            decision: \'answered\'', 'this._options.outbox.log({\n            decision: \'answered\''],
+  ['one-answer', 'requests/requestHandler.js', 'this._close(request, now);\n        this._log.answered(', 'this._log.answered('],
   ['no-revert', 'configuration/declarations.js', 'if (gateway.revision <= this.revision)', 'if (false)', [
     ['store/replica.js', 'if (this._version !== undefined && version < this._version)\n            return [];', ''],
     ['store/replica.js', 'if (row.version <= known)\n            return;', '']
@@ -79,6 +79,9 @@
   ['fuzzed-server', '../../entry/dist/backend/backendClient.js', 'const fault = headFault(message);', 'const fault = undefined;', [
     ['../../entry/dist/runtime/entryNode.js', 'this._endFailed(effect);', 'throw error;']
   ], 'should pass on a whole answer or none'],
+  ['departed-caller', 'requests/requestHandler.js', "this._options.outbox.put({ kind: 'discard', request: id });", '', [],
+    'should keep nothing of requests whose callers left'],
+  ['late-in-a-stop', 'requests/plannedStop.js', 'return expiresAt <= this.closesAt;', 'return true;', [], 'may not end within the grace time of a stop'],
   ['stop-cuts-nothing', 'entryCore.js', 'this.requests.open > 0 || ', '']
 ]
 
