Stop a process that still waits for its settings

Operators who stopped an entry while its settings file was missing or not valid yet saw it start a moment later and serve on until SIGKILL.

Cause: the loader of the bundle sets empty signal handlers, and the handlers that stop the process were set only after the settings had been read, up to a second later. A signal in between was taken and lost. Without the loader it ended the process by the signal.

StopSignals is now created before the settings are read. Until there is a log, SIGTERM and SIGINT end the process with code 0 and one line on standard output. The signals that ask for nothing are ignored from the same place on.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -20,6 +20,13 @@
   record?: string
 }
 
+interface RunOptions extends UsableSettings {
+  path: string
+  record: string | undefined
+  formats: PlatformFormats | undefined
+  signals: StopSignals
+}
+
 /** Signals that ask for nothing here, as log rotation may send them. By default they end the process, or start Node's inspector. */
 const IGNORED_SIGNALS: NodeJS.Signals[] = ['SIGUSR1', 'SIGUSR2', 'SIGALRM']
 const EXIT_FAILURE = 1
@@ -36,6 +43,9 @@
     .showHelpAfterError()
   const { settings: path, check, record } = command.parse(argv).opts<CommandLineOptions>()
   if (path === undefined) return command.error('missing settings file: name it with --settings FILE', { exitCode: EXIT_INVALID_SETTINGS })
+  const signals = new StopSignals()
+  // A reload is pointless before the settings have been read.
+  for (const signal of [...IGNORED_SIGNALS, 'SIGHUP']) process.on(signal, () => {})
   let usable: UsableSettings
   try {
     usable = check ? { settings: readSettings(path), leftOut: [] } : await awaitSettings(path)
@@ -45,12 +55,10 @@
     return
   }
   if (check) return void process.stdout.write('settings are valid\n')
-  await run(usable, path, record, program.formats)
+  await run({ ...usable, path, record, formats: program.formats, signals })
 }
 
-async function run (
-  { settings, leftOut }: UsableSettings, path: string, record: string | undefined, formats: PlatformFormats | undefined
-): Promise<void> {
+async function run ({ settings, leftOut, path, record, formats, signals }: RunOptions): Promise<void> {
   const sink = new LogSink({ maxBytes: settings.log.mostBytes })
   const log = pino({ level: settings.log.level, base: { logger: settings.instance } }, sink)
   const end = new ProcessEnd({ log, sink })
@@ -60,7 +68,7 @@
   for (const reason of leftOut) log.warn({ decision: 'setting-left-out', reason })
   process.on('SIGHUP', () => checkChangedSettings(settings, path, log))
   for (const signal of IGNORED_SIGNALS) process.on(signal, () => log.info({ decision: 'signal', reason: `${signal}: ignored` }))
-  const signals = new StopSignals({ log, end: (code, reason) => end.exit(code, reason) })
+  signals.reportTo({ log, end: (code, reason) => end.exit(code, reason) })
   const entry = await startEntry({ settings, log, record, formats, droppedLogLines: () => sink.dropped }).catch((error: unknown) => {
     end.exit(EXIT_FAILURE, 'entry could not start', error)
   })
--- a/packages/entry/src/runtime/stopSignals.ts
+++ b/packages/entry/src/runtime/stopSignals.ts
@@ -1,5 +1,6 @@
 /** Handles the signals that stop the process. */
 import type { Logger } from 'pino'
+import { writeLine } from '../reports/logSink.js'
 
 /** What is stopped. */
 export interface Stoppable {
@@ -9,13 +10,16 @@
   stop: () => Promise<boolean>
 }
 
-export interface StopSignalsOptions {
+/** How a stop is reported. */
+export interface StopReports {
   log: Logger
   /** Ends the process. */
   end: (code: number, reason: string) => void
 }
 
+const STANDARD_OUTPUT = 1
 const EXIT_CUT = 1
+const STOPPED_EARLY = 'stopped before the start'
 /** A terminal and the programs between it and this process may each deliver the same key press. A person presses more slowly. */
 const SAME_KEY_PRESS_MS = 500
 
@@ -24,24 +28,29 @@
  * a process group may deliver several for one stop; only a person who presses the keys again ends the process without waiting.
  */
 export class StopSignals {
-  private readonly _options: StopSignalsOptions
+  private _reports: StopReports | undefined
   private _entry: Stoppable | undefined
   private _stopping = false
   private _interruptedAt: number | undefined
 
-  constructor (options: StopSignalsOptions) {
-    this._options = options
+  constructor () {
     process.on('SIGTERM', () => this._receive('SIGTERM'))
     process.on('SIGINT', () => this._receive('SIGINT'))
   }
 
+  /** Sets the log, once the settings have been read. Until then a signal ends the process at once. */
+  reportTo (reports: StopReports): void {
+    this._reports = reports
+  }
+
   /** Sets the entry to stop, once it has started. */
   started (entry: Stoppable): void {
     this._entry = entry
   }
 
   private _receive (signal: 'SIGTERM' | 'SIGINT'): void {
-    const { log, end } = this._options
+    if (!this._reports) return endWithoutLog()
+    const { log, end } = this._reports
     const open = this._entry?.open()
     log.info({ decision: 'signal', reason: signal, open })
     if (signal === 'SIGINT' && this._isRepeatedKeyPress()) {
@@ -50,7 +59,7 @@
     }
     if (this._stopping) return log.info({ decision: 'signal-ignored', reason: 'already stopping' })
     this._stopping = true
-    if (!this._entry) return end(0, 'stopped before the start')
+    if (!this._entry) return end(0, STOPPED_EARLY)
     void this._entry.stop().then((isComplete) => {
       end(isComplete ? 0 : EXIT_CUT, isComplete ? 'stopped' : 'stopped at the end of the grace time')
     })
@@ -63,3 +72,8 @@
     return isRepeated
   }
 }
+
+function endWithoutLog (): never {
+  writeLine(STANDARD_OUTPUT, JSON.stringify({ decision: 'ended', reason: STOPPED_EARLY, code: 0 }))
+  process.exit(0)
+}
--- a/tests/signals.spec.ts
+++ b/tests/signals.spec.ts
@@ -20,6 +20,18 @@
   setTimeout(() => listen.apply(this, parameters), 500)
   return this
 }`)}`
+/** Withholds the settings for some reads and sends SIGTERM at the second, with the handler that the loader of the bundle sets. */
+const SIGNAL_BEFORE_SETTINGS = `data:text/javascript,${encodeURIComponent(`import fs from 'node:fs'
+import { syncBuiltinESMExports } from 'node:module'
+const { readFileSync } = fs
+let reads = 0
+process.on('SIGTERM', () => {})
+fs.readFileSync = (path, ...parameters) => {
+  if (!String(path).endsWith('entry.yaml') || ++reads > 10) return readFileSync(path, ...parameters)
+  if (reads === 2) process.kill(process.pid, 'SIGTERM')
+  throw new Error('not written yet')
+}
+syncBuiltinESMExports()`)}`
 const pause = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms))
 
 interface Ended {
@@ -137,6 +149,15 @@
     expect(log).to.include('stopped before the start')
   })
 
+  // Guards against a stop that is lost because the process still waits for its settings, so that it starts and serves on.
+  it('should end with code 0 when it is stopped before its settings are written', async () => {
+    const program = run(GRACE_S, ['--import', SIGNAL_BEFORE_SETTINGS])
+    const { code, signal, log } = await program.ended
+    expect({ code, signal }).to.deep.equal({ code: 0, signal: null })
+    expect(log).to.include('stopped before the start')
+    expect(log).not.to.include('"started"')
+  })
+
   // Guards against a stop whose end is counted in running time, so that SIGKILL comes first.
   it('should end within its grace time though it was paused for half of it', async () => {
     const program = await start(5000)
--- a/utils/loader.cjs
+++ b/utils/loader.cjs
@@ -1,5 +1,5 @@
 // Starts the bundled entry with the V8 code cache from the build. A restart then compiles about half as much code.
-// By default these end the process, or start Node's inspector. The entry sets its own handlers once it has read its settings.
+// By default these end the process, or start Node's inspector. The entry adds its own handlers before it returns to the event loop.
 for (const signal of ['SIGHUP', 'SIGTERM', 'SIGINT', 'SIGUSR1', 'SIGUSR2', 'SIGALRM']) process.on(signal, () => {})
 
 const { createHash } = require('node:crypto')
