Give the entries of the fault soak the limits that it asserts

The soak checks 350 MB of memory and 4,100 descriptors, but filled neither into the settings template, so that the entries started without these limits. limits.memory_mb and limits.max_fds now come from the constants that the checks use.

--- a/tests/chaos/chaosRun.ts
+++ b/tests/chaos/chaosRun.ts
@@ -8,7 +8,8 @@
 import { Caller, type Behaviour } from './caller.js'
 import { entryCommand } from './deployFiles.js'
 import { Disturbances } from './disturbances.js'
-import { EntryInstance, READY_BOUND_MS } from './entryInstance.js'
+import { EntryInstance, MEMORY_MEGABYTES, READY_BOUND_MS } from './entryInstance.js'
+import { MAX_DESCRIPTORS } from './entryProcess.js'
 import { Gateway, SERVICES, ZONES } from './gateway.js'
 import { Injector } from './injector.js'
 import { Ledger } from './ledger.js'
@@ -139,7 +140,7 @@
         node_name: `front-${index}`,
         ip: host,
         zone: ZONES[index % ZONES.length],
-        limits: { cpu_share: CORE_SHARE, cores: 1 },
+        limits: { cpu_share: CORE_SHARE, cores: 1, memory_mb: MEMORY_MEGABYTES, max_fds: MAX_DESCRIPTORS },
         listen: {
           front: `${host}:${ports.callers}`,
           ready: `${host}:${ports.ready}`,
--- a/tests/chaos/entryInstance.ts
+++ b/tests/chaos/entryInstance.ts
@@ -28,7 +28,8 @@
 /** Longest time to become ready. Traffic of the deployments starts 10 s after the machines do. */
 export const READY_BOUND_MS = 10_000
 /** Resident memory of the instance. */
-const MAX_KILOBYTES = 350 * 1024
+export const MEMORY_MEGABYTES = 350
+const MAX_KILOBYTES = MEMORY_MEGABYTES * 1024
 const RESTART_DELAY_MS = 300
 const FETCH_TIMEOUT_MS = 1000
 
--- a/tests/chaos/entryProcess.ts
+++ b/tests/chaos/entryProcess.ts
@@ -18,7 +18,7 @@
 }
 
 /** Descriptors that the instance allows. */
-const MAX_DESCRIPTORS = 4100
+export const MAX_DESCRIPTORS = 4100
 const KEPT_OUTPUT_CHARACTERS = 2000
 const HANG_UP_BIT = 1n
 
