Report what a fault soak has seen when it is interrupted

A run that was ended by a signal or a time limit printed nothing, so that its findings were lost. The handler of the signals now prints the report with the verdict "interrupted" before the program ends with 130.

--- a/tests/chaos/main.ts
+++ b/tests/chaos/main.ts
@@ -1,6 +1,6 @@
 /**
  * Fault soak with real processes: `npm run chaos -- --seed N --seconds S --entries E [--servers K]`.
- * Prints what was injected and seen. Exits with 1 if a promise was broken.
+ * Prints what was injected and seen, also when it is interrupted. Exits with 1 if a promise was broken, and with 130 if interrupted.
  */
 import { resolve } from 'node:path'
 import { Command } from 'commander'
@@ -34,15 +34,19 @@
 
 const numbers = { seed: Number(seed), seconds: Number(seconds), entries: Number(entries), servers: Number(servers) }
 const run = new ChaosRun({ ...numbers, root: resolve(root), shareCore, without: without?.split(',') })
+const command = `chaos --seed ${seed} --seconds ${seconds} --entries ${entries} --servers ${servers}${shareCore ? ' --share-core' : ''}` +
+  (without === undefined ? '' : ` --without ${without}`)
+const { report } = run
+
 for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
   process.on(signal, () => {
     run.abort()
+    report.interrupted = true
+    process.stdout.write(report.format(command, { full: !quiet }))
     process.exit(EXIT_INTERRUPTED)
   })
 }
 process.on('exit', () => run.abort())
-const report = await run.play()
-const command = `chaos --seed ${seed} --seconds ${seconds} --entries ${entries} --servers ${servers}${shareCore ? ' --share-core' : ''}` +
-  (without === undefined ? '' : ` --without ${without}`)
+await run.play()
 process.stdout.write(report.format(command, { full: !quiet }))
 process.exit(report.findings.length > 0 ? EXIT_BROKEN : 0)
--- a/tests/chaos/report.ts
+++ b/tests/chaos/report.ts
@@ -11,6 +11,8 @@
 /** Collects the injected faults and the findings of a run. */
 export class Report {
   readonly findings: Finding[] = []
+  /** Whether the run was ended before all checks were made. */
+  interrupted = false
   private readonly _startedAt = performance.now()
   private readonly _lines: string[] = []
 
@@ -36,7 +38,8 @@
     const shown = first.map(({ at, check, detail }) => `  ${at} ms  ${check}: ${detail}`)
     const more = this.findings.length - shown.length
     if (more > 0) shown.push(`  and ${more} more`)
-    const verdict = this.findings.length === 0 ? 'sound' : `BROKEN: ${this.findings.length} findings`
+    const outcome = this.findings.length === 0 ? 'sound' : `BROKEN: ${this.findings.length} findings`
+    const verdict = this.interrupted ? `interrupted, ${this.findings.length} findings so far` : outcome
     return [...(full ? this._lines : []), `${command}: ${verdict}`, ...shown, ''].join('\n')
   }
 }
