Let the spec of an unread log wait for the start

An entry that starts more slowly had no handler yet and ended by the signal, which says nothing about its log. The spec now waits until the port of the metrics, which opens last, answers. The bound after SIGTERM is unchanged.

--- a/tests/processEnd.spec.ts
+++ b/tests/processEnd.spec.ts
@@ -2,6 +2,7 @@
 import { execFileSync } from 'node:child_process'
 import { once } from 'node:events'
 import { closeSync, constants, mkdtempSync, openSync, rmSync, writeSync } from 'node:fs'
+import { createServer, type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { expect } from 'chai'
@@ -99,10 +100,19 @@
       const unread = openSync(join(folder, 'log'), constants.O_RDWR | constants.O_NONBLOCK)
       fill(unread)
       const inherited = openSync(join(folder, 'log'), constants.O_WRONLY)
-      const program = run({ preface, stdio: ['ignore', inherited, inherited] })
+      const port = await freePort()
+      const settings = { metrics: { address: `${HOST}:${port}` } }
+      const program = run({ preface, settings, stdio: ['ignore', inherited, inherited] })
       closeSync(inherited)
-      await new Promise((resolve) => setTimeout(resolve, START_MS))
-      if (code === 0) program.process.kill('SIGTERM')
+      if (code === 0) {
+        // The last port that opens: it answers once the entry has started.
+        let status = 0
+        while (status !== 200) {
+          await new Promise((resolve) => setTimeout(resolve, 20))
+          status = (await send(port, 'GET', '/metrics').catch(() => undefined))?.status ?? 0
+        }
+        program.process.kill('SIGTERM')
+      }
       const end = await program.endWithin(code === 0 ? GRACE_MS : MAX_START_MS + GRACE_MS)
       closeSync(unread)
       rmSync(folder, { recursive: true })
@@ -175,6 +185,14 @@
   })
 })
 
+async function freePort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise((resolve) => server.close(resolve))
+  return port
+}
+
 /** Writes to a pipe until it takes no more. */
 function fill (descriptor: number): void {
   try {
