End a process whose stop fails

Operators saw a process that neither served nor ended until SIGKILL after one of its parts could not be closed.

Cause: nobody handled the rejection of a stop, neither after a signal nor after too many failures. It was only logged as an unexpected error.

Both now end the process with code 1 and the reason 'stop failed', with the error.

Result: both new specs, in which the port between entries cannot be closed, failed before (the process still ran at the end of the time it had) and pass now.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -68,7 +68,7 @@
   for (const reason of leftOut) log.warn({ decision: 'setting-left-out', reason })
   process.on('SIGHUP', () => checkChangedSettings(settings, path, log))
   for (const signal of IGNORED_SIGNALS) process.on(signal, () => log.info({ decision: 'signal', reason: `${signal}: ignored` }))
-  signals.reportTo({ log, end: (code, reason) => end.exit(code, reason) })
+  signals.reportTo({ log, end: (code, reason, error) => end.exit(code, reason, error) })
   const entry = await startEntry({ settings, log, record, formats, droppedLogLines: () => sink.dropped }).catch((error: unknown) => {
     end.exit(EXIT_FAILURE, 'entry could not start', error)
   })
@@ -77,7 +77,7 @@
   end.unexpected = (origin, error) => entry.reportUnexpected(origin, error)
   signals.started({ open: () => entry.node.open, stop: () => entry.stop() })
   entry.ended.catch(async (error: unknown) => {
-    await entry.stop()
+    await entry.stop().catch((failure: unknown) => end.exit(EXIT_FAILURE, 'stop failed', failure))
     end.exit(EXIT_FAILURE, 'too many failures', error)
   })
 }
--- a/packages/entry/src/runtime/stopSignals.ts
+++ b/packages/entry/src/runtime/stopSignals.ts
@@ -14,11 +14,12 @@
 export interface StopReports {
   log: Logger
   /** Ends the process. */
-  end: (code: number, reason: string) => void
+  end: (code: number, reason: string, error?: unknown) => void
 }
 
 const STANDARD_OUTPUT = 1
 const EXIT_CUT = 1
+const EXIT_FAILURE = 1
 const STOPPED_EARLY = 'stopped before the start'
 /** A terminal and the programs between it and this process may each deliver the same key press. A person presses more slowly. */
 const SAME_KEY_PRESS_MS = 500
@@ -62,7 +63,7 @@
     if (!this._entry) return end(0, STOPPED_EARLY)
     void this._entry.stop().then((isComplete) => {
       end(isComplete ? 0 : EXIT_CUT, isComplete ? 'stopped' : 'stopped at the end of the grace time')
-    })
+    }, (error: unknown) => end(EXIT_FAILURE, 'stop failed', error))
   }
 
   private _isRepeatedKeyPress (): boolean {
--- a/tests/processEnd.spec.ts
+++ b/tests/processEnd.spec.ts
@@ -21,6 +21,9 @@
 const THROWS = 'throw new Error("unforeseen")'
 const REJECTS = 'void Promise.reject(new Error("unforeseen"))'
 
+/** Program text that keeps the port between entries from closing. */
+const UNCLOSABLE = 'require("node:dgram").Socket.prototype.close = () => { throw new Error("unclosable") }\n'
+
 /** Program text that has errors once the entry has started: callers, other entries and metrics have their ports. */
 function failing (statement: string, count: number): string {
   return `const timer = setInterval(() => {
@@ -83,6 +86,20 @@
     expect(program.lines().at(-1)).to.include({ decision: 'ended', reason: 'stopped', code: 0 })
   })
 
+  // Guards against a process that neither serves nor ends, since one part could not be closed.
+  for (const [name, preface] of [['a signal', UNCLOSABLE], ['errors', UNCLOSABLE + failing(THROWS, TOO_MANY)]] as const) {
+    it(`should end although its stop fails after ${name}`, async () => {
+      const program = run({ preface })
+      await program.started()
+      if (name === 'a signal') program.process.kill('SIGTERM')
+      const end = await program.endWithin(name === 'a signal' ? GRACE_MS : MAX_START_MS + GRACE_MS)
+      expect(end).to.deep.equal({ code: 1, signal: null })
+      const last = program.lines().at(-1)!
+      expect(last).to.include({ decision: 'ended', reason: 'stop failed', code: 1 })
+      expect((last.err as Error).message).to.equal('unclosable')
+    })
+  }
+
   // Guards against a full disk behind the log that keeps a process from ending, so that nothing starts it again.
   it('should report the end on standard error and end if its log cannot be written', async () => {
     const full = openSync('/dev/full', 'w')
