--- a/tests/processEnd.spec.ts
+++ b/tests/processEnd.spec.ts
@@ -2,6 +2,7 @@
 import { execFileSync } from 'node:child_process'
 import { once } from 'node:events'
 import { closeSync, constants, mkdtempSync, openSync, rmSync, writeSync } from 'node:fs'
+import { createServer, type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { expect } from 'chai'
@@ -20,6 +21,9 @@
 const THROWS = 'throw new Error("unforeseen")'
 const REJECTS = 'void Promise.reject(new Error("unforeseen"))'
 
+/** Program text that keeps the port between entries from closing. */
+const UNCLOSABLE = 'require("node:dgram").Socket.prototype.close = () => { throw new Error("unclosable") }\n'
+
 /** Program text that has errors once the entry has started: callers, other entries and metrics have their ports. */
 function failing (statement: string, count: number): string {
   return `const timer = setInterval(() => {
@@ -82,6 +86,20 @@
     expect(program.lines().at(-1)).to.include({ decision: 'ended', reason: 'stopped', code: 0 })
   })
 
+  // Guards against a process that neither serves nor ends, since one part could not be closed.
+  for (const [name, preface] of [['a signal', UNCLOSABLE], ['errors', UNCLOSABLE + failing(THROWS, TOO_MANY)]] as const) {
+    it(`should end although its stop fails after ${name}`, async () => {
+      const program = run({ preface })
+      await program.started()
+      if (name === 'a signal') program.process.kill('SIGTERM')
+      const end = await program.endWithin(name === 'a signal' ? GRACE_MS : MAX_START_MS + GRACE_MS)
+      expect(end).to.deep.equal({ code: 1, signal: null })
+      const last = program.lines().at(-1)!
+      expect(last).to.include({ decision: 'ended', reason: 'stop failed', code: 1 })
+      expect((last.err as Error).message).to.equal('unclosable')
+    })
+  }
+
   // Guards against a full disk behind the log that keeps a process from ending, so that nothing starts it again.
   it('should report the end on standard error and end if its log cannot be written', async () => {
     const full = openSync('/dev/full', 'w')
@@ -99,10 +117,19 @@
       const unread = openSync(join(folder, 'log'), constants.O_RDWR | constants.O_NONBLOCK)
       fill(unread)
       const inherited = openSync(join(folder, 'log'), constants.O_WRONLY)
-      const program = run({ preface, stdio: ['ignore', inherited, inherited] })
+      const port = await freePort()
+      const settings = { metrics: { address: `${HOST}:${port}` } }
+      const program = run({ preface, settings, stdio: ['ignore', inherited, inherited] })
       closeSync(inherited)
-      await new Promise((resolve) => setTimeout(resolve, START_MS))
-      if (code === 0) program.process.kill('SIGTERM')
+      if (code === 0) {
+        // The last port that opens: it answers once the entry has started.
+        let status = 0
+        while (status !== 200) {
+          await new Promise((resolve) => setTimeout(resolve, 20))
+          status = (await send(port, 'GET', '/metrics').catch(() => undefined))?.status ?? 0
+        }
+        program.process.kill('SIGTERM')
+      }
       const end = await program.endWithin(code === 0 ? GRACE_MS : MAX_START_MS + GRACE_MS)
       closeSync(unread)
       rmSync(folder, { recursive: true })
@@ -175,6 +202,14 @@
   })
 })
 
+async function freePort (): Promise<number> {
+  const server = createServer()
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
+  const { port } = server.address() as AddressInfo
+  await new Promise((resolve) => server.close(resolve))
+  return port
+}
+
 /** Writes to a pipe until it takes no more. */
 function fill (descriptor: number): void {
   try {
