--- a/tests/entry.spec.ts
+++ b/tests/entry.spec.ts
@@ -378,19 +378,22 @@
 
   // Guards against a connection that is never read again after an early answer to an upload.
   it('should read the next request after an upload that was answered early', async () => {
-    await deployment.start(smallDocument(), [{}], ['a'])
+    const place = { name: 'place', methods: ['GET', 'POST'], idempotent: false, targetMs: 5000, deadlineMs: 20_000 }
+    deployment.entrySettings = { backends: { probeMs: 5000 } }
+    await deployment.start(smallDocument({ kinds: [place] }), [{}], ['a'])
     const { faults } = deployment.backends[0]!
     faults.refusesEarly = true
     const body = 'x'.repeat(1_900_000)
     const upload = `POST /orders HTTP/1.1\r\nhost: x\r\n${REQUEST_ID}: upload\r\ncontent-length: ${body.length}\r\n\r\n`
     const { socket, received } = openRaw(deployment.portOf(0), upload)
     socket.write(body.slice(0, 1_200_000))
-    await waitUntil(() => received().includes('HTTP/1.1 503') || socket.destroyed)
+    await waitUntil(() => received().includes('\r\n\r\n') || socket.destroyed)
+    expect(received()).to.match(/^HTTP\/1\.1 503 /).and.to.include('shed')
     faults.refusesEarly = false
     socket.write(body.slice(1_200_000))
     socket.write(`GET /orders HTTP/1.1\r\nhost: x\r\n${REQUEST_ID}: next\r\n\r\n`)
     await waitUntil(() => received().includes('"request":"next"') || socket.destroyed)
-    expect(received()).to.include('"request":"next"')
+    expect(received()).to.include('"request":"next","server":"orders-0"')
     socket.destroy()
   })
 
