--- a/tests/processEnd.spec.ts
+++ b/tests/processEnd.spec.ts
@@ -2,13 +2,12 @@
 import { execFileSync } from 'node:child_process'
 import { once } from 'node:events'
 import { closeSync, constants, mkdtempSync, openSync, rmSync, writeSync } from 'node:fs'
-import { createServer, type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { expect } from 'chai'
 import { SeededRandom } from '@gooseberryspan/core'
 import { StoreServer } from '@gooseberryspan/standins'
-import { HOST, openRaw, send, waitUntil } from './fixtures/deployment.js'
+import { freePort, HOST, openRaw, send, waitUntil } from './fixtures/deployment.js'
 import { EntryProgram, type EntryProgramOptions } from './fixtures/entryProgram.js'
 
 /** Grace time of the fixture's settings. */
@@ -206,14 +205,6 @@
   })
 })
 
-async function freePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise((resolve) => server.close(resolve))
-  return port
-}
-
 /** Writes to a pipe until it takes no more. */
 function fill (descriptor: number): void {
   try {
--- a/tests/signals.spec.ts
+++ b/tests/signals.spec.ts
@@ -1,10 +1,9 @@
 import { spawn, type ChildProcess } from 'node:child_process'
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer, type AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { expect } from 'chai'
-import { Deployment, HOST, REQUEST_ID, send, smallDocument, useDeployment, waitUntil } from './fixtures/deployment.js'
+import { Deployment, freePort, HOST, REQUEST_ID, send, smallDocument, useDeployment, waitUntil } from './fixtures/deployment.js'
 
 const PROGRAM = join(import.meta.dirname, '../../packages/entry/dist/bin/entry.js')
 const GRACE_S = 2
@@ -175,11 +174,3 @@
     expect(tookMs - at).to.be.below(GRACE_S * 1000)
   })
 })
-
-async function freePort (): Promise<number> {
-  const server = createServer()
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
-  const { port } = server.address() as AddressInfo
-  await new Promise((resolve) => server.close(resolve))
-  return port
-}
