Let the spec of warnings wait for the start of the process

Beside load it failed twice: the warnings came 1 s after the begin of the process, before it had a log, or SIGTERM before its handler. The warnings now come once the ports are open, and the stop after they were logged.

--- a/tests/processEnd.spec.ts
+++ b/tests/processEnd.spec.ts
@@ -23,8 +23,8 @@
 /** Program text that keeps the port between entries from closing. */
 const UNCLOSABLE = 'require("node:dgram").Socket.prototype.close = () => { throw new Error("unclosable") }\n'
 
-/** Program text that has errors once the entry has started: callers, other entries and metrics have their ports. */
-function failing (statement: string, count: number): string {
+/** Program text that runs a statement some times once the entry has started: callers, other entries and metrics have their ports. */
+function afterStart (statement: string, count: number): string {
   return `const timer = setInterval(() => {
     if (process.getActiveResourcesInfo().filter((name) => name === 'TCPServerWrap').length < 3) return
     clearInterval(timer)
@@ -52,7 +52,7 @@
   for (const [origin, statement] of [['uncaughtException', THROWS], ['unhandledRejection', REJECTS]] as const) {
     // Guards against one error that ends every entry in which it occurs, and cuts all open requests.
     it(`should not follow from one error that nobody handled (${origin})`, async () => {
-      const program = run({ preface: failing(statement, TOO_MANY - 1) })
+      const program = run({ preface: afterStart(statement, TOO_MANY - 1) })
       const countErrors = (): number => program.lines().filter(({ decision }) => decision === 'unexpected-error').length
       await waitUntil(() => countErrors() === TOO_MANY - 1)
       expect(await program.endWithin(GRACE_MS)).to.equal(undefined)
@@ -64,7 +64,7 @@
 
     // Guards against an end that leaves a bare stack and loses the lines before it.
     it(`should say in its last log line that too many errors caused it, and keep the lines before (${origin})`, async () => {
-      const program = run({ preface: failing(statement, TOO_MANY) })
+      const program = run({ preface: afterStart(statement, TOO_MANY) })
       expect(await program.ended).to.deep.equal({ code: 1, signal: null })
       const lines = program.lines()
       expect(lines.map(({ decision }) => decision)).to.include.members(['started', 'unexpected-error', 'stopped'])
@@ -86,7 +86,7 @@
   })
 
   // Guards against a process that neither serves nor ends, since one part could not be closed.
-  for (const [name, preface] of [['a signal', UNCLOSABLE], ['errors', UNCLOSABLE + failing(THROWS, TOO_MANY)]] as const) {
+  for (const [name, preface] of [['a signal', UNCLOSABLE], ['errors', UNCLOSABLE + afterStart(THROWS, TOO_MANY)]] as const) {
     it(`should end although its stop fails after ${name}`, async () => {
       const program = run({ preface })
       await program.started()
@@ -102,7 +102,7 @@
   // Guards against a full disk behind the log that keeps a process from ending, so that nothing starts it again.
   it('should report the end on standard error and end if its log cannot be written', async () => {
     const full = openSync('/dev/full', 'w')
-    const program = run({ preface: failing(THROWS, TOO_MANY), stdio: ['ignore', full, 'pipe'] })
+    const program = run({ preface: afterStart(THROWS, TOO_MANY), stdio: ['ignore', full, 'pipe'] })
     closeSync(full)
     expect(await program.endWithin(MAX_START_MS + GRACE_MS)).to.deep.equal({ code: 1, signal: null })
     expect(program.lines(program.errors).at(-1)).to.include({ decision: 'ended', reason: 'too many failures' })
@@ -112,7 +112,7 @@
   for (const [name, preface, code] of [
     ['a stop', '', 0],
     ['a stop whose ports do not close', 'require("node:http").Server.prototype.close = () => {}', 0],
-    ['errors', failing(THROWS, TOO_MANY), 1]
+    ['errors', afterStart(THROWS, TOO_MANY), 1]
   ] as const) {
     it(`should end after ${name} while nobody reads its log`, async () => {
       const folder = mkdtempSync(join(tmpdir(), 'unread-'))
@@ -173,14 +173,14 @@
   // Guards against a warning of Node that ends an entry whose standard error cannot be written.
   it('should not follow from warnings while standard error cannot be written', async () => {
     const full = openSync('/dev/full', 'w')
-    const preface = `setTimeout(() => { for (let i = 0; i < ${TOO_MANY}; i++) process.emitWarning('odd ' + i) }, 1000)`
-    const program = run({ preface, stdio: ['ignore', 'pipe', full] })
+    const program = run({ preface: afterStart("process.emitWarning('odd ' + i)", TOO_MANY), stdio: ['ignore', 'pipe', full] })
     closeSync(full)
-    expect(await program.endWithin(START_MS + GRACE_MS)).to.equal(undefined)
+    await waitUntil(() => program.decisions('warning').length === TOO_MANY)
+    expect(await program.endWithin(GRACE_MS)).to.equal(undefined)
     program.process.kill('SIGTERM')
     expect(await program.ended).to.deep.equal({ code: 0, signal: null })
-    expect(program.lines().filter(({ decision }) => decision === 'warning')).to.have.length(TOO_MANY)
-    expect(program.lines().filter(({ decision }) => decision === 'unexpected-error')).to.deep.equal([])
+    expect(program.decisions('warning')).to.have.length(TOO_MANY)
+    expect(program.decisions('unexpected-error')).to.deep.equal([])
   })
 
   // Guards against a full disk ending an entry that records its events.
