Share one context between the parts of the fault soak

Entries, callers, backend servers and the injector each listed the report, the ledger, the disturbances and the random source in their options and at each construction. They now extend one context; stop or kill followed by a restart is one method of an instance, and the grace time is stated once.

--- a/tests/chaos/backendServer.ts
+++ b/tests/chaos/backendServer.ts
@@ -1,20 +1,17 @@
 /** A simulated backend server of the platform: registers itself, runs requests in its slots, and misbehaves when told to. */
 import { createServer, type IncomingMessage, type ServerResponse, type Server } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
-import type { Random } from '@gooseberryspan/core'
 import type { BackendFault } from './plan.js'
-import { fill, stampOf, type Ledger } from './ledger.js'
+import { fill, stampOf, type RunContext } from './ledger.js'
 import type { PlatformStore } from './platformStore.js'
 
 /** Options of a simulated backend server. */
-export interface BackendServerOptions {
+export interface BackendServerOptions extends RunContext {
   name: string
   service: string
   zone: string
   host: string
   store: PlatformStore
-  ledger: Ledger
-  random: Random
 }
 
 interface Work {
--- a/tests/chaos/caller.ts
+++ b/tests/chaos/caller.ts
@@ -1,21 +1,17 @@
 /** A caller of the entries, with one of several behaviours. */
 import { setTimeout as pause } from 'node:timers/promises'
-import { draw, type Random } from '@gooseberryspan/core'
+import { draw } from '@gooseberryspan/core'
 import { CallerConnection } from './callerConnection.js'
 import type { EntryInstance } from './entryInstance.js'
-import { fill, type Ledger, type RequestKind, type SentRequest } from './ledger.js'
-import type { Report } from './report.js'
+import { fill, type RequestKind, type RunContext, type SentRequest } from './ledger.js'
 
 /** What a caller does on its connections. `pressing` callers send without a pause. */
 export type Behaviour = 'regular' | 'pressing' | 'pipelining' | 'uploading' | 'slow-reading' | 'leaving' | 'malformed'
 
 /** Options of a caller. */
-export interface CallerOptions {
+export interface CallerOptions extends RunContext {
   behaviour: Behaviour
   instances: readonly EntryInstance[]
-  ledger: Ledger
-  report: Report
-  random: Random
 }
 
 const KINDS: readonly RequestKind[] = ['safe', 'safe', 'safe', 'unsafe', 'unsafe', 'upload']
--- a/tests/chaos/chaosRun.ts
+++ b/tests/chaos/chaosRun.ts
@@ -12,7 +12,7 @@
 import { MAX_DESCRIPTORS } from './entryProcess.js'
 import { Gateway, SERVICES, ZONES } from './gateway.js'
 import { Injector } from './injector.js'
-import { Ledger } from './ledger.js'
+import { Ledger, type RunContext } from './ledger.js'
 import { drawPlan, type PlanOptions } from './plan.js'
 import { PlatformStore } from './platformStore.js'
 import { Report } from './report.js'
@@ -49,8 +49,7 @@
   readonly report = new Report()
   readonly ledger: Ledger
   private readonly _options: ChaosOptions
-  private readonly _random: SeededRandom
-  private readonly _disturbances = new Disturbances()
+  private readonly _context: RunContext
   private readonly _folder = mkdtempSync(join(tmpdir(), 'chaos-'))
   private readonly _store: PlatformStore
   private readonly _servers: BackendServer[] = []
@@ -60,9 +59,11 @@
 
   constructor (options: ChaosOptions) {
     this._options = options
-    this._random = new SeededRandom(options.seed + 1)
-    this.ledger = new Ledger(this.report, this._disturbances)
-    this._store = new PlatformStore(this._random)
+    const random = new SeededRandom(options.seed + 1)
+    const disturbances = new Disturbances()
+    this.ledger = new Ledger(this.report, disturbances)
+    this._context = { report: this.report, ledger: this.ledger, disturbances, random }
+    this._store = new PlatformStore(random)
   }
 
   /** Plays the run and ends all that it started. */
@@ -92,12 +93,11 @@
     await this._startServers(`${net}.251`)
     this._prepareInstances(net, plan.ports)
     const injector = new Injector({
+      ...this._context,
       instances: this._instances,
       servers: this._servers,
       store: this._store,
       gateway,
-      report,
-      disturbances: this._disturbances,
       press: (forMs) => this._press(forMs)
     })
     if (plan.takenMetricsPort !== undefined) {
@@ -123,9 +123,7 @@
     for (let index = 0; index < this._options.servers; index++) {
       const service = SERVICES[index % SERVICES.length]!
       const zone = ZONES[Math.floor(index / SERVICES.length) % ZONES.length]!
-      const server = new BackendServer({
-        name: `${service}-${index}`, service, zone, host, store: this._store, ledger: this.ledger, random: this._random
-      })
+      const server = new BackendServer({ ...this._context, name: `${service}-${index}`, service, zone, host, store: this._store })
       await server.start()
       this._servers.push(server)
     }
@@ -152,18 +150,8 @@
         platform_config: { address: this._store.address },
         bounds: BOUNDS
       }
-      this._instances.push(new EntryInstance({
-        index,
-        host,
-        ports,
-        root,
-        command: entryCommand(root),
-        folder: this._folder,
-        fields,
-        report: this.report,
-        ledger: this.ledger,
-        disturbances: this._disturbances
-      }))
+      const command = entryCommand(root)
+      this._instances.push(new EntryInstance({ ...this._context, index, host, ports, root, command, folder: this._folder, fields }))
     }
   }
 
@@ -193,8 +181,7 @@
   }
 
   private _call (behaviour: Behaviour): Caller {
-    const { report, ledger } = this
-    const caller = new Caller({ behaviour, instances: this._instances, ledger, report, random: this._random })
+    const caller = new Caller({ ...this._context, behaviour, instances: this._instances })
     this._callers.push(caller)
     void caller.run()
     return caller
@@ -211,7 +198,7 @@
     const { report } = this
     report.note('calm: no more faults')
     await this._allReady()
-    const caller = new Caller({ behaviour: 'regular', instances: this._instances, ledger: this.ledger, report, random: this._random })
+    const caller = new Caller({ ...this._context, behaviour: 'regular', instances: this._instances })
     await Promise.all(this._instances.map(async (instance) => {
       for (let count = 0; count < SERVED_TRIES; count++) {
         if (await caller.probe(instance) === 200) return
--- a/tests/chaos/entryInstance.ts
+++ b/tests/chaos/entryInstance.ts
@@ -2,15 +2,13 @@
 import { writeFileSync } from 'node:fs'
 import { get } from 'node:http'
 import { setTimeout as pause } from 'node:timers/promises'
-import type { Disturbances } from './disturbances.js'
 import { fillTemplate, type TemplateFields } from './deployFiles.js'
 import { EntryProcess, type ProcessEnd } from './entryProcess.js'
-import type { Ledger } from './ledger.js'
+import { GRACE_MS, type RunContext } from './ledger.js'
 import type { PortName } from './plan.js'
-import type { Report } from './report.js'
 
 /** Options of an instance. */
-export interface EntryInstanceOptions {
+export interface EntryInstanceOptions extends RunContext {
   index: number
   host: string
   ports: Record<PortName, number>
@@ -18,13 +16,8 @@
   command: string[]
   folder: string
   fields: TemplateFields
-  report: Report
-  ledger: Ledger
-  disturbances: Disturbances
 }
 
-/** Time between SIGTERM and SIGKILL: `grace_s` of the deployments. */
-export const GRACE_MS = 6000
 /** Longest time to become ready. Traffic of the deployments starts 10 s after the machines do. */
 export const READY_BOUND_MS = 10_000
 /** Resident memory of the instance. */
@@ -117,6 +110,12 @@
     end(report.now)
   }
 
+  /** Ends the process, as planned or at once, and starts the next one. */
+  async replace (how: 'stop' | 'kill'): Promise<void> {
+    await this[how]()
+    await this.restart()
+  }
+
   async restart (): Promise<void> {
     await pause(RESTART_DELAY_MS)
     this.start()
--- a/tests/chaos/entryProcess.ts
+++ b/tests/chaos/entryProcess.ts
@@ -36,8 +36,9 @@
   peakDescriptors = 0
   errors = ''
   output = ''
+  /** Resolves once the process has ended. */
+  readonly ended: Promise<void>
   private readonly _child: ChildProcess
-  private readonly _ended: Promise<void>
   private _end: ProcessEnd | undefined
 
   constructor ({ root, command, settingsPath, now, ended }: EntryProcessOptions) {
@@ -54,7 +55,7 @@
       this.errors = `${this.errors}${part.toString('latin1')}`.slice(0, KEPT_OUTPUT_CHARACTERS)
     })
     for (const stream of [this._child.stdout!, this._child.stderr!]) stream.on('error', () => {})
-    this._ended = new Promise((resolve) => {
+    this.ended = new Promise((resolve) => {
       this._child.once('exit', (code, signal) => {
         this._end = { code, signal }
         // The last output may arrive after the exit.
@@ -74,11 +75,6 @@
     return this._end === undefined
   }
 
-  /** Resolves once the process has ended. */
-  get ended (): Promise<void> {
-    return this._ended
-  }
-
   signal (signal: NodeJS.Signals): void {
     if (this.alive) this._child.kill(signal)
   }
--- a/tests/chaos/injector.ts
+++ b/tests/chaos/injector.ts
@@ -3,21 +3,18 @@
 import { connect, createServer, type Server, type Socket } from 'node:net'
 import { setTimeout as pause } from 'node:timers/promises'
 import type { BackendServer } from './backendServer.js'
-import type { Disturbances } from './disturbances.js'
 import type { EntryInstance } from './entryInstance.js'
 import type { Gateway } from './gateway.js'
+import type { RunContext } from './ledger.js'
 import { formatFault, type Fault, type PortName } from './plan.js'
 import type { PlatformStore } from './platformStore.js'
-import type { Report } from './report.js'
 
 /** What faults are injected into. */
-export interface InjectorOptions {
+export interface InjectorOptions extends RunContext {
   instances: readonly EntryInstance[]
   servers: readonly BackendServer[]
   store: PlatformStore
   gateway: Gateway
-  report: Report
-  disturbances: Disturbances
   /** Lets many callers press for a while. */
   press: (forMs: number) => Promise<void>
 }
@@ -56,7 +53,7 @@
       }
       case 'change': return await gateway.change(fault.how)
       case 'press': return await press(fault.forMs)
-      case 'kill-all': return void await Promise.all(this._options.instances.map((instance) => killAndRestart(instance)))
+      case 'kill-all': return void await Promise.all(this._options.instances.map((instance) => instance.replace('kill')))
       case 'roll': return await this._roll()
       default: return await this._injectInto(this._options.instances[fault.entry]!, fault)
     }
@@ -82,14 +79,14 @@
   private async _injectInto (instance: EntryInstance, fault: Extract<Fault, { entry: number }>): Promise<void> {
     const entry = instance.current
     switch (fault.kind) {
-      case 'stop': return await stopAndRestart(instance)
+      case 'stop':
+      case 'kill': return await instance.replace(fault.kind)
       case 'stop-overlapped': {
         const stopped = instance.stop()
         await pause(OVERLAP_MS)
         instance.start()
         return await stopped
       }
-      case 'kill': return await killAndRestart(instance)
       case 'pause': {
         if (!entry?.alive || entry.paused) return
         return await this._during(instance.name, fault.forMs, (active) => {
@@ -136,7 +133,7 @@
   private async _roll (): Promise<void> {
     const stops: Array<Promise<void>> = []
     for (const instance of this._options.instances) {
-      stops.push(stopAndRestart(instance))
+      stops.push(instance.replace('stop'))
       await pause(ROLL_GAP_MS)
     }
     await Promise.all(stops)
@@ -152,16 +149,6 @@
   }
 }
 
-async function stopAndRestart (instance: EntryInstance): Promise<void> {
-  await instance.stop()
-  await instance.restart()
-}
-
-async function killAndRestart (instance: EntryInstance): Promise<void> {
-  await instance.kill()
-  await instance.restart()
-}
-
 async function openIdle (instance: EntryInstance, sockets: Socket[], count: number): Promise<void> {
   for (let index = 0; index < count; index++) {
     const socket = connect({ host: instance.host, port: instance.ports.callers })
--- a/tests/chaos/ledger.ts
+++ b/tests/chaos/ledger.ts
@@ -1,4 +1,5 @@
 /** Compares what callers sent and received with what backend servers ran. */
+import type { Random } from '@gooseberryspan/core'
 import type { Disturbances } from './disturbances.js'
 import type { Answer } from './callerConnection.js'
 import type { Report } from './report.js'
@@ -30,12 +31,21 @@
 
 /** These statuses promise that the request has not run and will not run. */
 const NOT_RUN_STATUSES = [408, 421, 429, 503]
-const GRACE_MS = 6000
+/** Time between SIGTERM and SIGKILL: `grace_s` of the deployments. */
+export const GRACE_MS = 6000
 /** A request sent this long after the signal must be refused if it cannot finish: 3 s of the grace time. */
 const LATE_IN_STOP_MS = 3000
 /** A backend server that is still at work in the last sixth of the grace time excuses the loss of an earlier request. */
 const LAST_PART_MS = GRACE_MS * 5 / 6
 
+/** What all parts of a run share. */
+export interface RunContext {
+  report: Report
+  ledger: Ledger
+  disturbances: Disturbances
+  random: Random
+}
+
 /** All requests of a run. */
 export class Ledger {
   readonly counts: Record<string, number> = {}
