Let the fault soak judge only what its plan allows

Change: such a port is not held for ever, held ports are compared by number, and turns reach all processes that no fault has paused.

--- a/tests/chaos/chaosRun.ts
+++ b/tests/chaos/chaosRun.ts
@@ -161,7 +161,7 @@
     }, WATCH_INTERVAL_MS))
     if (!this._options.shareCore) return
     const signalAll = (signal: NodeJS.Signals): void => {
-      for (const { current } of this._instances) if (current && !current.paused) current.signal(signal)
+      for (const instance of this._instances) instance.signal(signal)
     }
     this._timers.push(setInterval(() => {
       signalAll('SIGCONT')
--- a/tests/chaos/entryInstance.ts
+++ b/tests/chaos/entryInstance.ts
@@ -133,6 +133,11 @@
     for (const entry of this._processes) entry.kill()
   }
 
+  /** Signals all processes that no fault has paused, also those that are told to stop. */
+  signal (signal: NodeJS.Signals): void {
+    for (const entry of this._processes) if (!entry.paused) entry.signal(signal)
+  }
+
   /** Checks memory and the time until the newest process is ready. */
   async watch (): Promise<void> {
     const { report, disturbances } = this._options
@@ -161,7 +166,9 @@
 
   /** Whether another process holds a port that the entry needs for its work. */
   private _arePortsTaken (entry: EntryProcess): boolean {
-    return [...this.heldPorts].some((port) => port !== 'metrics') || [...this._processes].some((other) => other !== entry && other.alive)
+    const { metrics, ...needed } = this.ports
+    const isHeld = [...this.heldPorts].some((name) => Object.values(needed).includes(this.ports[name]))
+    return isHeld || [...this._processes].some((other) => other !== entry && other.alive)
   }
 
   /** The number of open requests by the entry's metrics, if they can be read. */
--- a/tests/chaos/plan.ts
+++ b/tests/chaos/plan.ts
@@ -78,7 +78,9 @@
   const taken = Math.floor(random.next() * entries)
   const isPortFree = without.includes('held-port')
   const ports = isPortFree ? PORTS : portsDrawn
-  const takenMetricsPort = takesPort && !isPortFree ? taken : undefined
+  // An entry whose port for callers is held all the time could never serve.
+  const isShared = Object.values(ports).filter((port) => port === METRICS_PORT).length > 1
+  const takenMetricsPort = takesPort && !isPortFree && !isShared ? taken : undefined
   const count = Math.ceil(seconds * (BASE_RATE + RATE_PER_ENTRY * entries))
   const faults: Fault[] = []
   for (let index = 0; index < count; index++) {
