Bound the time to close ports at the end of a stop

Beside load 31 on 8 cores the spec of ports that do not close found a process that still ran at the end of its grace time: it had waited for the ports until 175 ms before that end, and the exit took longer. Nobody waits for anything any more once callers are cut, so closing may take 500 ms at most.

--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -84,6 +84,8 @@
 const EXIT_MARGIN_MS = 250
 /** Of that, the time that is left for the exit itself. */
 const EXIT_MS = 100
+/** Longest time to close ports and files, of which nobody waits for anything any more. */
+const MAX_CLOSE_MS = 500
 const MIN_STOP_WAIT_MS = 20
 const MAX_BUFFERED_ANSWER_BYTES = 262_144
 /** Slightly longer than the two seconds within which lapsed registrations are renewed after the store is reachable again. */
@@ -290,7 +292,7 @@
     built.core.invariants.check('stop-cuts-nothing', cut === 0, () => `${cut} requests at the stop limit`)
     callerServer.cut()
     peerServer.cut()
-    await settlesWithin(close(), graceEndsAt - LOG_END_MS - EXIT_MS - now())
+    await settlesWithin(close(), Math.min(MAX_CLOSE_MS, graceEndsAt - LOG_END_MS - EXIT_MS - now()))
     log.info({ decision: 'stopped', cut })
     return cut === 0
   }
