Remove the question whether a request is open, which nothing asks any more

Cause: the node learns the end of each request from its effect. Change: the method and its stand-in in a spec are gone.

--- a/packages/core/src/requests/requestHandler.ts
+++ b/packages/core/src/requests/requestHandler.ts
@@ -75,11 +75,6 @@
     return this._brokenOff
   }
 
-  /** Whether a request has not ended. */
-  isOpen (request: number): boolean {
-    return this._requests.has(request)
-  }
-
   /** Whether any request is waiting for a scheduler to grant a server. */
   get waiting (): boolean {
     return this._bySchedulerRequest.size > 0
--- a/tests/entryNode.spec.ts
+++ b/tests/entryNode.spec.ts
@@ -15,8 +15,7 @@
     handle: (event: Event) => {
       events.push(event)
       return event.kind === 'tick' ? effects : []
-    },
-    requests: { isOpen: () => false }
+    }
   } as unknown as EntryCore
   const node = new EntryNode({
     core,
