--- a/tests/cluster.spec.ts
+++ b/tests/cluster.spec.ts
@@ -55,7 +55,7 @@
   })
 
   it('should live on the others\' word where the store turns an entry away', () => {
-    for (const node of cluster.nodes.slice(0, 4)) cluster.instancesWithoutStore.add(node.instance)
+    for (const node of cluster.nodes.slice(0, 4)) cluster.platformStore.refused.add(node.instance)
     run(1000)
     cluster.changeDocument(() => {})
     run(1900)
--- a/tests/fleetRestart.spec.ts
+++ b/tests/fleetRestart.spec.ts
@@ -28,7 +28,7 @@
     for (const node of [...cluster.nodes]) cluster.crash(node)
     cluster.time.runUntil(cluster.time.now + POWER_OFF_MS)
     if (serversAreCold) for (const { simulated } of cluster.backends.values()) simulated.makeCold(COLD_MS)
-    cluster.storeCalls.clear()
+    cluster.platformStore.calls.clear()
     for (const [index, { instance, zone }] of [...cluster.nodes].entries()) {
       const isSeed = index < SEEDS
       if (isSeed && !seedsReturn) continue
@@ -114,7 +114,7 @@
       const cluster = restart(entriesPerZone)
       cluster.time.runUntil(cluster.time.now + 1500)
       expect(cluster.ready()).to.have.length(entriesPerZone * 3)
-      const calls = [...cluster.storeCalls.values()].reduce((sum, count) => sum + count, 0)
+      const calls = [...cluster.platformStore.calls.values()].reduce((sum, count) => sum + count, 0)
       expect(calls).to.be.at.most(Math.min(entriesPerZone * 3, 48) * MAX_STORE_CALLS_PER_START)
     })
   }
--- a/tests/storeCalls.spec.ts
+++ b/tests/storeCalls.spec.ts
@@ -14,13 +14,13 @@
   well: () => {},
   away: (cluster) => cluster.setStoreDown(true),
   slow: (cluster) => {
-    cluster.storeDelayMs = 240
+    cluster.platformStore.delayMs = 240
   },
   forgetful: (cluster) => {
     for (const after of [500, 1500, 2500]) cluster.time.after(after, () => cluster.store.dropHistory())
   },
   'turning a third away': (cluster) => {
-    for (const [index, { instance }] of cluster.nodes.entries()) if (index % 3 === 0) cluster.instancesWithoutStore.add(instance)
+    for (const [index, { instance }] of cluster.nodes.entries()) if (index % 3 === 0) cluster.platformStore.refused.add(instance)
   }
 }
 
@@ -31,11 +31,11 @@
         const cluster = new Cluster({ seed: 11, entriesPerZone })
         cluster.time.runUntil(SETTLED_MS)
         expect(cluster.ready()).to.have.length(entriesPerZone * 3)
-        cluster.storeCalls.clear()
+        cluster.platformStore.calls.clear()
         begin[state](cluster)
         cluster.time.runUntil(SETTLED_MS + TROUBLE_MS)
-        const calls = [...cluster.storeCalls.values()].reduce((sum, count) => sum + count, 0)
-        expect(cluster.storeCalls.size, 'callers').to.be.at.most(MOST_CALLERS)
+        const calls = [...cluster.platformStore.calls.values()].reduce((sum, count) => sum + count, 0)
+        expect(cluster.platformStore.calls.size, 'callers').to.be.at.most(MOST_CALLERS)
         expect(calls / TROUBLE_MS * 1000, 'calls a second').to.be.at.most(MOST_CALLS_PER_SECOND)
         expect(cluster.violations).to.deep.equal([])
       })
