Let drawn entries take over from followers that the store no longer answers

Callers of a large gateway were served by an older configuration, and got 404 on added routes, more than 2.5 s after a newer one had been accepted.

Cause: all entries relied on two followers whose polls the store may hold for 4 s, counted their replicas as current for 5 s, and then let only the highest-ranked take over. An entry that the store silently stops answering cannot know that; nothing else bounded the time. The class: the absence of news was taken for a confirmation for longer than the bound that the news has to meet.

Now the leader's polls last 1.0 s, replicas without a confirmation for 1.3 s (1.0 s up to 25 entries) are overdue, and ten entries, in an order drawn from the configuration's version, read 50 ms after one another; the first that succeeds substitutes for the followers. Takeovers are logged as store-takeover.

--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -204,6 +204,7 @@
   | 'warm'
   | 'store-lost'
   | 'store-regained'
+  | 'store-takeover'
   | 'store-history-lost'
   | 'effect-failed'
   | 'left'
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -182,7 +182,7 @@
   pauseMs (now: number): number {
     if (this.requests.waiting || this.host.busy) return WAITING_TICK_MS
     const maxTickMs = !this.roster.self.isWarm || this.host.isActive(now) ? MAX_ACTIVE_TICK_MS : MAX_TICK_MS
-    const dueAt = Math.min(this.requests.dueAt, this.roster.dueAt, this._closeDueAt, now + maxTickMs)
+    const dueAt = Math.min(this.requests.dueAt, this.roster.dueAt, this.replication.dueAt, this._closeDueAt, now + maxTickMs)
     return Math.max(MIN_TICK_MS, dueAt - now)
   }
 
--- a/packages/core/src/members/roles.ts
+++ b/packages/core/src/members/roles.ts
@@ -11,7 +11,7 @@
 /** Number of candidates computed for a role; candidates after these are never used. */
 const MAX_CANDIDATES = 3
 /** When at least this many members cannot reach the store, the store itself is considered unreachable and the order stays unchanged. */
-const STORE_OUTAGE_MEMBER_COUNT = 6
+const STORE_OUTAGE_MEMBER_COUNT = 3
 const HASH_RANGE = 2 ** 32
 
 /** Candidates by role, computed on demand and cached until the members change. */
--- a/packages/core/src/store/changePublisher.ts
+++ b/packages/core/src/store/changePublisher.ts
@@ -20,8 +20,8 @@
   rows: StoredRow[]
 }
 
-/** An entry that is not the change-feed leader waits this long, because the leader usually publishes the same changes first. */
-const FOLLOWER_PUBLISH_DELAY_MS = 40
+/** A standby follower waits this long, because the change-feed leader usually publishes the same changes first. */
+const STANDBY_PUBLISH_DELAY_MS = 40
 
 /** Sends change broadcasts and heartbeats to all members: directly in a small cluster, through relays in a large one. */
 export class ChangePublisher {
@@ -33,10 +33,15 @@
     this._options = options
   }
 
-  /** Broadcasts changes. An entry that is not the change-feed leader does so after a delay, unless others have published them by then. */
-  publish (changes: TableChanges, isLeader: boolean, now: number): void {
-    if (isLeader) this._send(changes)
-    else this._delayed.push({ ...changes, dueAt: now + FOLLOWER_PUBLISH_DELAY_MS })
+  /** Broadcasts changes. A standby follower does so after a delay, unless others have published them by then. */
+  publish (changes: TableChanges, isStandby: boolean, now: number): void {
+    if (isStandby) this._delayed.push({ ...changes, dueAt: now + STANDBY_PUBLISH_DELAY_MS })
+    else this._send(changes)
+  }
+
+  /** Time at which the next broadcast is due. */
+  get dueAt (): number {
+    return this._delayed[0]?.dueAt ?? Infinity
   }
 
   sendHeartbeat (tables: ReplicaStatus[]): void {
--- a/packages/core/src/store/storeAccess.ts
+++ b/packages/core/src/store/storeAccess.ts
@@ -1,4 +1,6 @@
 /** Decides which entries read the store, when they read it, and how long a read may wait for changes. */
+import { hash } from '../hash.js'
+import type { Member } from '../members/member.js'
 import type { Roles } from '../members/roles.js'
 import type { Roster } from '../members/roster.js'
 
@@ -11,8 +13,10 @@
 interface StoreTiming {
   /** Number of entries that continuously read changes from the store. */
   followers: number
-  /** How long the store may delay its answer while there are no changes (long polling). */
+  /** How long the store may delay its answer to the entry that confirms the replicas of all, while there are no changes (long polling). */
   waitMs: number
+  /** How long it may delay its answers to the other followers. */
+  standbyWaitMs: number
   /** When its replicas are older than this, an entry that is not a follower may read the store itself. */
   takeoverAgeMs: number
   /** When a replica was older than this before an update, the store counts as having been unreachable. */
@@ -28,30 +32,38 @@
 const SMALL_CLUSTER_TIMING: StoreTiming = {
   followers: 1,
   waitMs: 700,
+  standbyWaitMs: 700,
   takeoverAgeMs: 1000,
   outageAgeMs: 2000,
   heartbeatPeriodMs: 250,
   maxRetryPauseMs: 800,
   retriesOneTable: false
 }
-/** Two followers in two zones: with long waits, a follower may notice only at the end of a wait that the store is unreachable. */
+/**
+ * Two followers in two zones. A follower that the store no longer answers does not know, so all entries rely on confirmations that are
+ * younger than the time in which a change has to be in force, less the time of a takeover.
+ */
 const LARGE_CLUSTER_TIMING: StoreTiming = {
   followers: 2,
-  waitMs: 4000,
-  takeoverAgeMs: 5000,
+  waitMs: 1000,
+  standbyWaitMs: 2500,
+  takeoverAgeMs: 1300,
   outageAgeMs: 4400,
   heartbeatPeriodMs: 500,
   maxRetryPauseMs: 1500,
   retriesOneTable: true
 }
-/** Number of highest-ranked members that may read first when replicas are old; the highest-ranked member of each zone comes next. */
+/** Number of highest-ranked members that retry often. */
 const PREFERRED_READERS = 3
-/** Delay between the reads of successive ranks, so that one of them reads and the others receive its changes. */
-const READER_STAGGER_MS = 60
-/** The second-ranked member of each zone may read when its replica is overdue by more than this. */
-const SECOND_IN_ZONE_DELAY_MS = 3000
+/** Number of entries that read in quick succession when replicas are overdue: enough to include one that the store still answers. */
+const QUICK_CANDIDATES = 10
+/** Delay between the reads of successive candidates, so that one of them reads and the others receive its changes. */
+const CANDIDATE_STAGGER_MS = 50
+/** While none of the candidates succeeds, one more entry reads each time. */
+const FURTHER_CANDIDATE_DELAY_MS = 5000
 /** How long a starting entry waits for replicas from other entries before it reads the store itself. */
 const PREFERRED_READER_JOIN_WAIT_MS = 900
+const JOIN_STAGGER_MS = 60
 const OTHER_ENTRY_JOIN_WAIT_MS = 5000
 const INITIAL_RETRY_PAUSE_MS = 80
 const MIN_WAIT_MS = 100
@@ -61,6 +73,7 @@
 /** Decides for this entry, based on its rank among the members. */
 export class StoreAccess {
   private readonly _options: StoreAccessOptions
+  private _substitutes = false
 
   constructor (options: StoreAccessOptions) {
     this._options = options
@@ -70,33 +83,56 @@
     return this._options.roster.isLarge ? LARGE_CLUSTER_TIMING : SMALL_CLUSTER_TIMING
   }
 
-  /** Whether this entry continuously reads changes from the store on behalf of all entries. */
+  /** Whether this entry is meant to read changes continuously on behalf of all entries. */
   get isFollower (): boolean {
     return this._rank < this.timing.followers
   }
 
-  /** Whether this entry may read the store now, given the age of its replica. */
-  mayRead (ageMs: number): boolean {
-    if (this.isFollower) return true
-    const { takeoverAgeMs } = this.timing
-    const overdueMs = ageMs - takeoverAgeMs
-    if (overdueMs <= 0) return false
-    if (this._rank < PREFERRED_READERS) return overdueMs > this._rank * READER_STAGGER_MS
-    const zoneRank = this._options.roles.leaderRankInZone
-    return zoneRank === 0 ? overdueMs > PREFERRED_READERS * READER_STAGGER_MS : zoneRank === 1 && overdueMs > SECOND_IN_ZONE_DELAY_MS
+  /** Whether this entry is a follower that reads only in case the leader fails. */
+  get isStandby (): boolean {
+    return this._rank > 0 && this.isFollower
+  }
+
+  /** Whether a read of this entry would begin to replace those of followers that do not confirm the replicas. */
+  get isTakeover (): boolean {
+    return !this.isFollower && !this._substitutes
+  }
+
+  /** Whether this entry may read the store now, given the age of its replica; `version` is what all entries know of the store. */
+  mayRead (ageMs: number, version: number | undefined): boolean {
+    if (this.isFollower || this._substitutes) return true
+    const overdueMs = ageMs - this.timing.takeoverAgeMs
+    return overdueMs > 0 && overdueMs > this._takeoverDelayMs(String(version))
+  }
+
+  /** Records a successful read. Outside the followers, this entry then goes on reading until another entry confirms the replicas. */
+  readSucceeded (): void {
+    this._substitutes = !this.isFollower
+  }
+
+  readFailed (): void {
+    this._substitutes = false
+  }
+
+  /** Records that another entry has confirmed the replicas. One of the entries that substitute for the followers goes on. */
+  confirmedBy (member: Member): void {
+    const { watchers, leaderRank } = this._options.roles
+    const rank = watchers.findIndex(({ instance }) => instance === member.instance)
+    const isStandby = rank > 0 && rank < this.timing.followers
+    if (rank >= 0 && rank < leaderRank && !isStandby) this._substitutes = false
   }
 
   /** Whether this entry, which has no replica yet, may read the store after it has waited `waitedMs` for other entries. */
   mayReadInitially (waitedMs: number): boolean {
-    if (this._rank < PREFERRED_READERS) return waitedMs > PREFERRED_READER_JOIN_WAIT_MS + this._rank * READER_STAGGER_MS
+    if (this._rank < PREFERRED_READERS) return waitedMs > PREFERRED_READER_JOIN_WAIT_MS + this._rank * JOIN_STAGGER_MS
     return waitedMs > OTHER_ENTRY_JOIN_WAIT_MS
   }
 
   /** How long the store may delay its answer to a read, given the latency of the previous read. */
   waitMs (latencyMs: number): number {
-    if (!this.isFollower) return 0
-    const { waitMs } = this.timing
-    return Math.max(MIN_WAIT_MS, Math.round(waitMs - latencyMs))
+    if (!this.isFollower && !this._substitutes) return 0
+    const { waitMs, standbyWaitMs } = this.timing
+    return Math.max(MIN_WAIT_MS, Math.round((this.isStandby ? standbyWaitMs : waitMs) - latencyMs))
   }
 
   /** Pause before the next read after this number of consecutive failures. */
@@ -106,6 +142,19 @@
     return Math.min(maxPauseMs, INITIAL_RETRY_PAUSE_MS * 2 ** Math.min(10, failures))
   }
 
+  /**
+   * Delay of this entry's takeover. The order of the candidates differs for each version and has nothing to do with the ranks, so that it
+   * includes entries that the store answers whichever entries it no longer answers.
+   */
+  private _takeoverDelayMs (seed: string): number {
+    const { roster } = this._options
+    const ownHash = hash(`${seed}|${roster.self.instance}`)
+    let position = 0
+    for (const { instance } of roster.alive) if (hash(`${seed}|${instance}`) < ownHash) position += 1
+    const waitsBehind = Math.max(0, position - QUICK_CANDIDATES + 1)
+    return (position - waitsBehind) * CANDIDATE_STAGGER_MS + waitsBehind * FURTHER_CANDIDATE_DELAY_MS
+  }
+
   private get _rank (): number {
     return Math.max(0, this._options.roles.leaderRank)
   }
--- a/packages/core/src/store/storeWatch.ts
+++ b/packages/core/src/store/storeWatch.ts
@@ -56,6 +56,8 @@
  * which takes longer but limits the calls to the store in a cluster of hundreds.
  */
 const MAX_INITIAL_READERS = 24
+/** An entry reports a read after this time, so that one heartbeat covers both tables and follows the changes that it refers to. */
+const REPORT_DELAY_MS = { leader: 20, other: 80 }
 /** Time within which the registered entries answer if they are running: several round trips between zones. */
 const READY_ENTRY_WAIT_MS = 15
 
@@ -67,6 +69,8 @@
   private readonly _readers = new Map<TableName, TableReader>()
   private _startedAt: number | undefined
   private _nextHeartbeatAt = 0
+  /** When the next heartbeat is due because of a read of this entry. */
+  private _reportDueAt = Infinity
   private _nextPullAt = 0
   private _pullPauseMs = INITIAL_PULL_PAUSE_MS
   /** Time from which this entry, without replicas, reads the store as long as no ready entry is known; drawn once. */
@@ -101,6 +105,11 @@
     return age
   }
 
+  /** Time at which the next message to other entries is due. */
+  get dueAt (): number {
+    return Math.min(this._reportDueAt, this._publisher.dueAt)
+  }
+
   tick (now: number): void {
     this._startedAt ??= now
     for (const [table, reader] of this._readers) {
@@ -108,7 +117,7 @@
     }
     this._publisher.tick(now)
     if (!this.hasAllTables) this._pullFromReadyMember(now)
-    else if (now >= this._nextHeartbeatAt && this._options.roles.leaderRank === 0) this._sendHeartbeat(now)
+    else if (now >= this._reportDueAt || (now >= this._nextHeartbeatAt && this._isLeader)) this._sendHeartbeat(now)
   }
 
   /** Handles the number of entries that were running before this one started. */
@@ -122,6 +131,7 @@
     reader.reading = false
     if (result.kind === 'unavailable') return this._readFailed(table, reader, result.reason, now)
     this._readSucceeded(table, reader, now)
+    this._access.readSucceeded()
     if (result.kind === 'history-lost') {
       this._options.outbox.log({ decision: 'store-history-lost', table, version: reader.replica.version })
       reader.needsFullRead = true
@@ -132,20 +142,21 @@
       ? this._replaceRows(table, reader, result.rows, result.version, now)
       : this._mergeRows(table, result.rows, result.from, result.version, now, now)
     reader.needsFullRead = reader.replica.version === undefined
-    const isLeader = this._options.roles.leaderRank === 0
     if (changed.length > 0) {
       reader.nextReadAt = now + CHANGE_BATCH_PAUSE_MS
-      if (before !== undefined) this._publisher.publish({ table, from: before, to: reader.replica.version!, rows: changed }, isLeader, now)
+      const changes = { table, from: before ?? 0, to: reader.replica.version!, rows: changed }
+      if (before !== undefined) this._publisher.publish(changes, this._access.isStandby, now)
     } else {
       reader.latencyMs = Math.max(0, now - reader.startedAt - reader.waitMs)
     }
-    if (!isLeader) this._sendHeartbeat(now)
+    this._reportDueAt = Math.min(this._reportDueAt, now + (this._isLeader ? REPORT_DELAY_MS.leader : REPORT_DELAY_MS.other))
   }
 
   /** Handles a heartbeat, in which another entry reports the versions and ages of its replicas. */
   heartbeatReceived (from: Member, heartbeat: LeaderHeartbeat, now: number): void {
     this._publisher.relay(heartbeat)
     let behind = false
+    if (heartbeat.tables.every(({ ageMs }) => ageMs < this._access.timing.takeoverAgeMs)) this._access.confirmedBy(from)
     for (const { table, version, ageMs } of heartbeat.tables) {
       const { replica } = this._readers.get(table)!
       if (replica.version === version) this._mergeRows(table, [], version, version, now - ageMs, now)
@@ -201,7 +212,9 @@
 
   private _isReadDue (table: TableName, reader: TableReader, now: number): boolean {
     if (this._waitsForFirstTable(table, reader)) return false
-    if (reader.replica.version !== undefined) return this._access.mayRead(now - reader.replica.confirmedAt)
+    if (reader.replica.version !== undefined) {
+      return this._access.mayRead(now - reader.replica.confirmedAt, this.replicaOf('declarations').version)
+    }
     if (this._options.isSeed || this._access.mayReadInitially(now - this._startedAt!)) return true
     return this._initialReadAt !== undefined && now >= this._initialReadAt && this._readyEntries().length === 0
   }
@@ -222,12 +235,14 @@
     const after = reader.needsFullRead ? undefined : reader.replica.version
     reader.reading = true
     reader.startedAt = now
+    if (this._access.isTakeover) this._options.outbox.log({ decision: 'store-takeover', table, version: reader.replica.version })
     reader.waitMs = after === undefined ? 0 : this._access.waitMs(reader.latencyMs)
     this._options.outbox.put({ kind: 'read-table', table, after, waitMs: reader.waitMs })
   }
 
   private _readFailed (table: TableName, reader: TableReader, reason: string, now: number): void {
     reader.failures += 1
+    this._access.readFailed()
     if (reader.failures === FAILURES_BEFORE_UNREACHABLE) this._options.outbox.log({ decision: 'store-lost', table, reason })
     reader.nextReadAt = now + this._access.pauseMs(reader.failures)
     if (reader.failures >= FAILURES_BEFORE_UNREACHABLE) this._options.roster.announce({ reachesStore: false }, now)
@@ -264,7 +279,12 @@
     if (replica.version !== undefined && at - replica.confirmedAt > outageAgeMs) this._options.storeRecovered(now)
   }
 
+  private get _isLeader (): boolean {
+    return this._options.roles.leaderRank === 0
+  }
+
   private _sendHeartbeat (now: number): void {
+    this._reportDueAt = Infinity
     this._nextHeartbeatAt = now + this._access.timing.heartbeatPeriodMs
     const tables: ReplicaStatus[] = []
     for (const [table, { replica }] of this._readers) {
--- a/packages/operator/src/commands/explain.ts
+++ b/packages/operator/src/commands/explain.ts
@@ -40,13 +40,14 @@
   member: (line) => `entry ${line.instance} is considered ${line.standing}`,
   'configuration-adopted': (line) => `configuration ${line.revision} is in force`,
   'store-lost': (line) => `the entry cannot reach the store: ${line.reason}`,
-  'store-regained': () => 'the store is reachable again'
+  'store-regained': () => 'the store is reachable again',
+  'store-takeover': (line) => `no entry has confirmed table ${line.table} lately: this entry reads it itself`
 }
 
 /** Decisions that belong to no request, but may explain what happened to one. */
 const CONTEXT_DECISIONS = new Set<DecisionLine['decision']>([
   'server-silent', 'server-back', 'server-draining', 'server-unlisted', 'server-moved', 'zone-out', 'member', 'configuration-adopted',
-  'store-lost', 'store-regained'
+  'store-lost', 'store-regained', 'store-takeover'
 ])
 
 /** Shows the decisions about one request in the order of time, from the logs of any number of entries. */
