--- a/utils/mutations.mjs
+++ b/utils/mutations.mjs
@@ -36,7 +36,7 @@
     "return this._leaving.get(entry.id) === entry.incarnation ? { ...entry, state: 'draining' } : entry;", 'return entry;'],
   ['server-hold', 'placement/serverHolds.js', 'return hold !== undefined && hold.incarnation === incarnation && now < hold.until;',
     'return false;', [['placement/serverHolds.js', 'if (hold.service === service && isCurrent && now < hold.until)', 'if (false)']]],
-  ['leaving-server', 'store/storeAccess.js', 'if (overdueMs <= 0)', 'if (true)', [
+  ['leaving-server', 'store/storeAccess.js', 'return overdueMs > 0 &&', 'return false &&', [
     ['members/failureDetector.js', 'const SUSPECT_AFTER_MS = 350', 'const SUSPECT_AFTER_MS = 5000']
   ]],
   ['not-run-truth', 'requests/requestHandler.js', "mayHaveRun ? 'unknown' : 'not-run'", "'not-run'"],
@@ -48,9 +48,9 @@
     ['store/replica.js', 'if (this._version !== undefined && version < this._version)\n            return [];', ''],
     ['store/replica.js', 'if (row.version <= known)\n            return;', '']
   ], 'should never go back to an older gateway'],
-  ['in-force-everywhere', 'store/changePublisher.js', 'if (isLeader)', 'if (true) return;\n        if (isLeader)', [
+  ['in-force-everywhere', 'store/changePublisher.js', 'if (isStandby)', 'if (true) return;\n        if (isStandby)', [
     ['store/storeWatch.js', 'if (behind)', 'if (false)'],
-    ['store/storeAccess.js', 'if (overdueMs <= 0)', 'if (true)']
+    ['store/storeAccess.js', 'return overdueMs > 0 &&', 'return false &&']
   ]],
   ['one-membership', 'members/joining.js', 'if (!known.has(', 'if (false && known.has(', [
     ['members/registration.js', 'if (this._registeredAt > -Infinity)', 'if (false)']
