--- a/packages/standins/src/backend/standInBackend.ts
+++ b/packages/standins/src/backend/standInBackend.ts
@@ -75,6 +75,8 @@
   refusesEarly: boolean
   /** All answers state that the server is leaving, whatever it has registered. */
   leaving: boolean
+  /** All answers state this limit, in requests a second from all entries together. */
+  limitPerSecond?: number
   /** Refusals state for how long the server wants no requests, in the format of `Retry-After`. */
   retryAfter?: string
   /** Number of filler bytes that are added to each answer. */
@@ -199,6 +201,8 @@
     if (this.faults.unresponsive) return
     response.setHeader(`${HEADER_PREFIX}-server`, this._options.id)
     if (this.faults.leaving) response.setHeader(`${HEADER_PREFIX}-leaving`, '1')
+    const { limitPerSecond } = this.faults
+    if (limitPerSecond !== undefined) response.setHeader(`${HEADER_PREFIX}-limit`, String(limitPerSecond))
     if (request.url === '/health') return this._answerHealthCheck(response)
     if (this.faults.refusesEarly) {
       request.resume()
