Let only takeovers make an entry substitute for the followers

Read back in the takeover of reads: an entry that had read its first replicas at a start went on polling until the leader confirmed them, and a table read before the other one was known left a due report behind, so that the entry ticked every 2 ms until it knew both. No test had shown either; not measured. Substitutes are entries whose replica was overdue, and reports are due once both tables are known.

--- a/packages/core/src/store/storeWatch.ts
+++ b/packages/core/src/store/storeWatch.ts
@@ -4,9 +4,10 @@
 import type { PeerState, PeerStateQuery, RowsMessage, ReplicaStatus, ReplicaState, LeaderHeartbeat } from '../members/peerMessages.js'
 import type { Roles } from '../members/roles.js'
 import type { Roster } from '../members/roster.js'
-import { draw, type Random } from '../random.js'
+import type { Random } from '../random.js'
 import { ChangePublisher } from './changePublisher.js'
 import { Replica } from './replica.js'
+import { ReplicaPull } from './replicaPull.js'
 import { TABLES, type StoredRow, type TableName } from './row.js'
 import { StoreAccess } from './storeAccess.js'
 
@@ -48,9 +49,6 @@
 const CHANGE_BATCH_PAUSE_MS = 60
 /** Consecutive failures after which this entry reports the store as unreachable. */
 const FAILURES_BEFORE_UNREACHABLE = 2
-/** Pause between two requests for another entry's replicas; it doubles up to the maximum while no entry answers. */
-const INITIAL_PULL_PAUSE_MS = 150
-const MAX_PULL_PAUSE_MS = 1200
 /**
  * Number of entries, on average, that read the store at once after a start of all entries. The others wait for the replicas of these,
  * which takes longer but limits the calls to the store in a cluster of hundreds.
@@ -66,13 +64,12 @@
   private readonly _options: StoreWatchOptions
   private readonly _access: StoreAccess
   private readonly _publisher: ChangePublisher
+  private readonly _pull: ReplicaPull
   private readonly _readers = new Map<TableName, TableReader>()
   private _startedAt: number | undefined
   private _nextHeartbeatAt = 0
   /** When the next heartbeat is due because of a read of this entry. */
   private _reportDueAt = Infinity
-  private _nextPullAt = 0
-  private _pullPauseMs = INITIAL_PULL_PAUSE_MS
   /** Time from which this entry, without replicas, reads the store as long as no ready entry is known; drawn once. */
   private _initialReadAt: number | undefined
 
@@ -81,6 +78,7 @@
     const { roster, roles, outbox, random } = options
     this._access = new StoreAccess({ roster, roles })
     this._publisher = new ChangePublisher({ roster, outbox, random })
+    this._pull = new ReplicaPull({ roster, outbox, random })
     for (const table of TABLES) {
       this._readers.set(table, {
         replica: new Replica(), reading: false, startedAt: 0, waitMs: 0, latencyMs: 0, nextReadAt: 0, failures: 0, needsFullRead: true
@@ -107,7 +105,7 @@
 
   /** Time at which the next message to other entries is due. */
   get dueAt (): number {
-    return Math.min(this._reportDueAt, this._publisher.dueAt)
+    return Math.min(this.hasAllTables ? this._reportDueAt : Infinity, this._publisher.dueAt)
   }
 
   tick (now: number): void {
@@ -116,7 +114,7 @@
       if (!reader.reading && now >= reader.nextReadAt && this._isReadDue(table, reader, now)) this._read(table, reader, now)
     }
     this._publisher.tick(now)
-    if (!this.hasAllTables) this._pullFromReadyMember(now)
+    if (!this.hasAllTables) this._pull.pullFromAny(now)
     else if (now >= this._reportDueAt || (now >= this._nextHeartbeatAt && this._isLeader)) this._sendHeartbeat(now)
   }
 
@@ -131,7 +129,7 @@
     reader.reading = false
     if (result.kind === 'unavailable') return this._readFailed(table, reader, result.reason, now)
     this._readSucceeded(table, reader, now)
-    this._access.readSucceeded()
+    if (reader.replica.version !== undefined) this._access.readSucceeded()
     if (result.kind === 'history-lost') {
       this._options.outbox.log({ decision: 'store-history-lost', table, version: reader.replica.version })
       reader.needsFullRead = true
@@ -162,7 +160,7 @@
       if (replica.version === version) this._mergeRows(table, [], version, version, now - ageMs, now)
       else if (replica.version === undefined || version > replica.version) behind = true
     }
-    if (behind) this._pull(from, now)
+    if (behind) this._pull.pull(from, now)
   }
 
   /** Handles changed rows that another entry broadcast. */
@@ -170,13 +168,13 @@
     this._publisher.relay(message)
     const { table, rows, to, ageMs } = message
     const { replica } = this._readers.get(table)!
-    if (replica.version === undefined || message.from > replica.version) return this._pull(from, now)
+    if (replica.version === undefined || message.from > replica.version) return this._pull.pull(from, now)
     this._mergeRows(table, rows, message.from, to, now - ageMs, now)
   }
 
   /** Handles the replicas, or the changes to them, that another entry returned on request. */
   pulled (state: PeerState, now: number): void {
-    this._pullPauseMs = INITIAL_PULL_PAUSE_MS
+    this._pull.succeeded()
     for (const { table, from, version, ageMs, rows } of state.tables) {
       const reader = this._readers.get(table)!
       if (from !== undefined) this._mergeRows(table, rows, from, version, now - ageMs, now)
@@ -216,12 +214,7 @@
       return this._access.mayRead(now - reader.replica.confirmedAt, this.replicaOf('declarations').version)
     }
     if (this._options.isSeed || this._access.mayReadInitially(now - this._startedAt!)) return true
-    return this._initialReadAt !== undefined && now >= this._initialReadAt && this._readyEntries().length === 0
-  }
-
-  private _readyEntries (): Member[] {
-    const { roster } = this._options
-    return roster.alive.filter(({ phase, instance }) => phase === 'ready' && instance !== roster.self.instance)
+    return this._initialReadAt !== undefined && now >= this._initialReadAt && this._pull.sources.length === 0
   }
 
   /** In a large cluster, only the first table is read to find out whether an unreachable store answers again, which saves calls. */
@@ -235,7 +228,8 @@
     const after = reader.needsFullRead ? undefined : reader.replica.version
     reader.reading = true
     reader.startedAt = now
-    if (this._access.isTakeover) this._options.outbox.log({ decision: 'store-takeover', table, version: reader.replica.version })
+    const { version } = reader.replica
+    if (version !== undefined && this._access.isTakeover) this._options.outbox.log({ decision: 'store-takeover', table, version })
     reader.waitMs = after === undefined ? 0 : this._access.waitMs(reader.latencyMs)
     this._options.outbox.put({ kind: 'read-table', table, after, waitMs: reader.waitMs })
   }
@@ -292,22 +286,4 @@
     }
     this._publisher.sendHeartbeat(tables)
   }
-
-  /** Requests the replicas of a random ready entry, in the same availability zone if possible. */
-  private _pullFromReadyMember (now: number): void {
-    if (now < this._nextPullAt) return
-    const { roster, random } = this._options
-    const ready = this._readyEntries()
-    const sameZone = ready.filter(({ zone }) => zone === roster.self.zone)
-    const sources = sameZone.length > 0 ? sameZone : ready
-    const source = draw(sources, random)
-    if (source) this._pull(source, now)
-  }
-
-  private _pull (from: Member, now: number): void {
-    if (now < this._nextPullAt) return
-    this._nextPullAt = now + this._pullPauseMs * (0.5 + this._options.random.next())
-    this._pullPauseMs = Math.min(MAX_PULL_PAUSE_MS, this._pullPauseMs * 2)
-    this._options.outbox.put({ kind: 'pull', host: from.host, port: from.peerPort })
-  }
 }
