Report only the limits of the asked cell, and book no return for a hedge

An ask carried the limits of all servers of its service, up to 120 of about 75 bytes; a scheduler of a cell needs those of its cell (24 or so). A refused hedge moved the time of return of the next refused caller back by one request, though its caller does not return. Both found by reading; sizes are worked out from the fields, not measured.

--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -147,7 +147,7 @@
       outbox,
       random,
       heldServers: (service, now) => holds.heldOf(service, now),
-      limitsOf: (service, now) => limits.ofService(service, now),
+      limitsOf: (service, cell, now) => limits.ofAll(cells.usable(service, cell), now),
       timedOut: (schedulerRequest, now) => this.requests.schedulerTimedOut(schedulerRequest, now)
     })
     const cellSelector = new CellSelector({ cells, roster, random })
--- a/packages/core/src/members/peerMessages.ts
+++ b/packages/core/src/members/peerMessages.ts
@@ -104,7 +104,7 @@
   avoid: string[]
   /** Size of the body, if it is known. */
   bodyBytes?: number
-  /** Limits that servers of the service have stated, as the sender knows them. */
+  /** Limits that servers of the cell have stated, as the sender knows them. */
   limits?: StatedLimit[]
 }
 
--- a/packages/core/src/placement/queuePolicy.ts
+++ b/packages/core/src/placement/queuePolicy.ts
@@ -110,7 +110,7 @@
     if (reason !== 'overload') return MIN_RETRY_AFTER_MS
     const rate = this._serviceRatePerMs(request, now)
     const limitWaitMs = this._limitWaitMs(request, now)
-    if (limitWaitMs > 0) return this._nextReturnMs(limitWaitMs, rate, now)
+    if (limitWaitMs > 0 && request.purpose !== 'hedge') return this._nextReturnMs(limitWaitMs, rate, now)
     return Math.max(MIN_RETRY_AFTER_MS, rate === 0 ? NO_SERVER_RETRY_AFTER_MS : this._options.queue.length / rate)
   }
 
--- a/packages/core/src/placement/serverLimits.ts
+++ b/packages/core/src/placement/serverLimits.ts
@@ -66,12 +66,14 @@
     return statement?.incarnation === incarnation ? statement.perSecond : undefined
   }
 
-  /** The limits of the servers of a service. */
-  ofService (service: string, now: number): StatedLimit[] {
+  /** The limits of these servers, to report to another entry. */
+  ofAll (servers: readonly RegisteredServer[], now: number): StatedLimit[] {
     const limits: StatedLimit[] = []
-    for (const [server, { incarnation, service: stated, perSecond, at }] of this._statements) {
-      if (stated !== service || perSecond === undefined || this._options.catalog.get(server)?.incarnation !== incarnation) continue
-      limits.push({ server, incarnation, perSecond, ageMs: Math.max(0, Math.round(now - at)) })
+    if (this._statements.size === 0) return limits
+    for (const { id: server, incarnation } of servers) {
+      const statement = this._statements.get(server)
+      if (statement?.perSecond === undefined || statement.incarnation !== incarnation) continue
+      limits.push({ server, incarnation, perSecond: statement.perSecond, ageMs: Math.max(0, Math.round(now - statement.at)) })
     }
     return limits
   }
--- a/packages/core/src/requests/schedulerClient.ts
+++ b/packages/core/src/requests/schedulerClient.ts
@@ -19,8 +19,8 @@
   random: Random
   /** Ids of the servers of a service that the scheduler must not grant to this entry now. */
   heldServers: (service: string, now: number) => string[]
-  /** The limits that servers of a service have stated. */
-  limitsOf: (service: string, now: number) => StatedLimit[]
+  /** The limits that the servers of a cell have stated. */
+  limitsOf: (service: string, cell: string, now: number) => StatedLimit[]
   /** Called when the scheduler did not answer in time, or no longer knows the request. */
   timedOut: (schedulerRequest: SchedulerRequest, now: number) => void
 }
@@ -178,7 +178,7 @@
 
   private _placeMessage (request: OpenRequest, schedulerRequest: SchedulerRequest, now: number): PlaceMessage {
     const { spec, targetAt, expiresAt, avoid } = request
-    const limits = this._options.limitsOf(spec.service, now)
+    const limits = this._options.limitsOf(spec.service, schedulerRequest.cell, now)
     return {
       kind: 'place',
       ask: schedulerRequest.id,
--- a/tests/serverLimits.spec.ts
+++ b/tests/serverLimits.spec.ts
@@ -160,7 +160,7 @@
   })
 
   it('should reach a scheduler with the requests of the entries that know it', () => {
-    const [limit] = limits.ofService('s', 1200)
+    const [limit] = limits.ofAll([server], 1200)
     expect(limit).to.deep.equal({ server: 's1', incarnation: '1', perSecond: 3.4, ageMs: 200 })
     const other = new ServerLimits({ catalog: new Catalog({ lapseMs: 1000, isDeclared: () => true }), outbox: new Outbox() })
     other.reported([limit!], 's', 1200)
