--- a/tests/schedulerLine.spec.ts
+++ b/tests/schedulerLine.spec.ts
@@ -21,6 +21,7 @@
       outbox: new Outbox(),
       random: new SeededRandom(1),
       heldServers: () => [],
+      limitsOf: () => [],
       timedOut: (ask: SchedulerRequest) => void timedOut.push(ask.id)
     } as unknown as SchedulerClientOptions)
   })
