End the reads of an entry that took over once another one confirms the replicas

Three causes: a poll under way when the leader's confirmation came made the entry a substitute again; a heartbeat counted as the word of the entry that relayed it; and a leader that is cut off passed on the age that its replicas owe to the substitute, as if it had read them itself. Heartbeats name the entry whose read they report, and only a read that takes over makes a substitute. The new spec failed before: more than one entry that the store answered went on reading.

--- a/packages/core/src/members/peerMessages.ts
+++ b/packages/core/src/members/peerMessages.ts
@@ -65,10 +65,12 @@
   to: string
 }
 
-/** Heartbeat of the change-feed leader: reports the version and age of its replicas. */
+/** Heartbeat of an entry that reads the store, usually the change-feed leader: reports the version and age of its replicas. */
 export interface LeaderHeartbeat {
   kind: 'watch-beat'
   tables: ReplicaStatus[]
+  /** Instance that has just read the store, which may not be the sender of this copy; absent if no read is the reason for the message. */
+  reader?: string
   /** Members to which the receiver forwards this message. */
   relay?: RelayRange
 }
--- a/packages/core/src/store/changePublisher.ts
+++ b/packages/core/src/store/changePublisher.ts
@@ -44,8 +44,10 @@
     return this._delayed[0]?.dueAt ?? Infinity
   }
 
-  sendHeartbeat (tables: ReplicaStatus[]): void {
-    for (const { to, relay } of this._allBranches()) this._options.outbox.send(to, { kind: 'watch-beat', tables, relay })
+  /** Broadcasts a heartbeat; `reader` is this entry if a read of the store is the reason for it. */
+  sendHeartbeat (tables: ReplicaStatus[], reader: string | undefined): void {
+    const { outbox } = this._options
+    for (const { to, relay } of this._allBranches()) outbox.send(to, { kind: 'watch-beat', tables, relay, reader })
   }
 
   /** Forwards a broadcast from another entry to the members of its relay range, if it has one. */
--- a/packages/core/src/store/storeAccess.ts
+++ b/packages/core/src/store/storeAccess.ts
@@ -1,6 +1,5 @@
 /** Decides which entries read the store, when they read it, and how long a read may wait for changes. */
 import { hash } from '../hash.js'
-import type { Member } from '../members/member.js'
 import type { Roles } from '../members/roles.js'
 import type { Roster } from '../members/roster.js'
 
@@ -74,6 +73,8 @@
 export class StoreAccess {
   private readonly _options: StoreAccessOptions
   private _substitutes = false
+  /** Whether a read is under way with which this entry takes over. */
+  private _takesOver = false
 
   constructor (options: StoreAccessOptions) {
     this._options = options
@@ -93,9 +94,10 @@
     return this._rank > 0 && this.isFollower
   }
 
-  /** Whether a read of this entry would begin to replace those of followers that do not confirm the replicas. */
-  get isTakeover (): boolean {
-    return !this.isFollower && !this._substitutes
+  /** Begins a read of a replica that is known here. Returns whether this entry takes over from followers that do not confirm it. */
+  readBegan (): boolean {
+    this._takesOver = !this.isFollower && !this._substitutes
+    return this._takesOver
   }
 
   /** Whether this entry may read the store now, given the age of its replica; `version` is what all entries know of the store. */
@@ -105,21 +107,25 @@
     return overdueMs > 0 && overdueMs > this._takeoverDelayMs(String(version))
   }
 
-  /** Records a successful read. Outside the followers, this entry then goes on reading until another entry confirms the replicas. */
+  /** Records a successful read. After a takeover, this entry goes on reading until another entry confirms the replicas. */
   readSucceeded (): void {
-    this._substitutes = !this.isFollower
+    if (this._takesOver) this._substitutes = true
+    this._takesOver = false
   }
 
   readFailed (): void {
     this._substitutes = false
+    this._takesOver = false
   }
 
   /** Records that another entry has confirmed the replicas. One of the entries that substitute for the followers goes on. */
-  confirmedBy (member: Member): void {
+  confirmedBy (reader: string): void {
     const { watchers, leaderRank } = this._options.roles
-    const rank = watchers.findIndex(({ instance }) => instance === member.instance)
+    const rank = watchers.findIndex(({ instance }) => instance === reader)
     const isStandby = rank > 0 && rank < this.timing.followers
-    if (rank >= 0 && rank < leaderRank && !isStandby) this._substitutes = false
+    if (rank < 0 || rank >= leaderRank || isStandby) return
+    this._substitutes = false
+    this._takesOver = false
   }
 
   /** Whether this entry, which has no replica yet, may read the store after it has waited `waitedMs` for other entries. */
--- a/packages/core/src/store/storeWatch.ts
+++ b/packages/core/src/store/storeWatch.ts
@@ -129,7 +129,7 @@
     reader.reading = false
     if (result.kind === 'unavailable') return this._readFailed(table, reader, result.reason, now)
     this._readSucceeded(table, reader, now)
-    if (reader.replica.version !== undefined) this._access.readSucceeded()
+    this._access.readSucceeded()
     if (result.kind === 'history-lost') {
       this._options.outbox.log({ decision: 'store-history-lost', table, version: reader.replica.version })
       reader.needsFullRead = true
@@ -154,7 +154,8 @@
   heartbeatReceived (from: Member, heartbeat: LeaderHeartbeat, now: number): void {
     this._publisher.relay(heartbeat)
     let behind = false
-    if (heartbeat.tables.every(({ ageMs }) => ageMs < this._access.timing.takeoverAgeMs)) this._access.confirmedBy(from)
+    const isCurrent = heartbeat.tables.every(({ ageMs }) => ageMs < this._access.timing.takeoverAgeMs)
+    if (isCurrent && heartbeat.reader !== undefined) this._access.confirmedBy(heartbeat.reader)
     for (const { table, version, ageMs } of heartbeat.tables) {
       const { replica } = this._readers.get(table)!
       if (replica.version === version) this._mergeRows(table, [], version, version, now - ageMs, now)
@@ -229,7 +230,7 @@
     reader.reading = true
     reader.startedAt = now
     const { version } = reader.replica
-    if (version !== undefined && this._access.isTakeover) this._options.outbox.log({ decision: 'store-takeover', table, version })
+    if (version !== undefined && this._access.readBegan()) this._options.outbox.log({ decision: 'store-takeover', table, version })
     reader.waitMs = after === undefined ? 0 : this._access.waitMs(reader.latencyMs)
     this._options.outbox.put({ kind: 'read-table', table, after, waitMs: reader.waitMs })
   }
@@ -278,12 +279,13 @@
   }
 
   private _sendHeartbeat (now: number): void {
+    const reader = now >= this._reportDueAt ? this._options.roster.self.instance : undefined
     this._reportDueAt = Infinity
     this._nextHeartbeatAt = now + this._access.timing.heartbeatPeriodMs
     const tables: ReplicaStatus[] = []
     for (const [table, { replica }] of this._readers) {
       if (replica.version !== undefined) tables.push({ table, version: replica.version, ageMs: Math.round(now - replica.confirmedAt) })
     }
-    this._publisher.sendHeartbeat(tables)
+    this._publisher.sendHeartbeat(tables, reader)
   }
 }
--- a/packages/entry/src/peers/datagramCodec.ts
+++ b/packages/entry/src/peers/datagramCodec.ts
@@ -25,7 +25,7 @@
   gossip: [['news', 'news']],
   compare: [['groups', 'numbers'], ['keys', 'numbers'], ['states', 'numbers']],
   want: [['keys', 'numbers']],
-  'watch-beat': [['tables', 'tables'], ['relay', 'relay?']],
+  'watch-beat': [['tables', 'tables'], ['relay', 'relay?'], ['reader', 'string?']],
   rows: [['table', 'table'], ['from', 'number'], ['to', 'number'], ['ageMs', 'number'], ['rows', 'rows'], ['relay', 'relay?']],
   place: [
     ['ask', 'number'], ['label', 'string'], ['service', 'string'], ['cell', 'string'], ['route', 'string'], ['purpose', 'purpose'],
--- a/tests/silentStore.spec.ts
+++ b/tests/silentStore.spec.ts
@@ -50,3 +50,29 @@
     }
   }
 })
+
+describe('reads of the store in large clusters', function () {
+  let cluster: Cluster
+  const run = (ms: number): void => cluster.time.runUntil(cluster.time.now + ms)
+  /** Instances that call the store while the document changes. */
+  const callers = (): string[] => {
+    cluster.platformStore.calls.clear()
+    for (let change = 0; change < 3; change++) {
+      cluster.changeDocument(() => {})
+      run(2000)
+    }
+    return [...cluster.platformStore.calls.keys()]
+  }
+
+  beforeEach(() => {
+    cluster = new Cluster({ seed: 11, entriesPerZone: 44 })
+    run(SETTLED_MS)
+  })
+
+  // Guards against entries that go on reading after another one has taken over.
+  it('should come from one instance that the store answers, once it is silent for most others', () => {
+    for (const { instance } of choose(cluster, 'both that read it for all, and others', 0.6)) cluster.platformStore.unanswered.add(instance)
+    run(8000)
+    expect(callers().filter((instance) => !cluster.platformStore.unanswered.has(instance))).to.have.length(1)
+  })
+})
