--- a/packages/core/src/store/storeAccess.ts
+++ b/packages/core/src/store/storeAccess.ts
@@ -113,6 +113,7 @@
     this._takesOver = false
   }
 
+  /** Records a failed read, which ends a takeover. */
   readFailed (): void {
     this._substitutes = false
     this._takesOver = false
