--- a/packages/core/src/members/roles.ts
+++ b/packages/core/src/members/roles.ts
@@ -21,7 +21,6 @@
   private readonly _logHashes = new Map<string, Map<string, number>>()
   private _leaderCandidates: Member[] | undefined
   private _leaderRank: number | undefined
-  private _leaderRankInZone: number | undefined
   private _warmMembers: readonly Member[] | undefined
 
   constructor (roster: Roster) {
@@ -33,7 +32,6 @@
     this._schedulers.clear()
     this._leaderCandidates = undefined
     this._leaderRank = undefined
-    this._leaderRankInZone = undefined
     this._warmMembers = undefined
   }
 
@@ -59,15 +57,6 @@
     return this._leaderRank
   }
 
-  /** Position of this entry among the candidates of its own availability zone. */
-  get leaderRankInZone (): number {
-    if (this._leaderRankInZone === undefined) {
-      const { instance, zone } = this._roster.self
-      this._leaderRankInZone = this.watchers.filter((member) => member.zone === zone).findIndex((member) => member.instance === instance)
-    }
-    return this._leaderRankInZone
-  }
-
   private _orderLeaderCandidates (): Member[] {
     const members = this._notLeaving()
     const order = [...members].sort((a, b) => this._score('watcher', b) - this._score('watcher', a) || (a.instance < b.instance ? -1 : 1))
