--- a/packages/core/src/discovery/registeredServer.ts
+++ b/packages/core/src/discovery/registeredServer.ts
@@ -19,6 +19,10 @@
   coldMs: number
   /** Version of the store row that the registration was read from. */
   version: number
+  /** Version of its software, if it states one. */
+  softwareVersion?: string
+  /** Time of day at which it started, in milliseconds since 1970, if it states that. */
+  bornAt?: number
 }
 
 /** Ids are sent in a header, and hosts are resolved. */
@@ -28,6 +32,7 @@
 /** Far above what one process runs concurrently; a larger number would make a service appear to have unlimited capacity. */
 const MAX_SLOTS = 65_536
 const MAX_COLD_MS = 86_400_000
+const MAX_SOFTWARE_VERSION_LENGTH = 200
 
 const schema: z.ZodType<RegisteredServer> = z.object({
   id: z.string().regex(VISIBLE_ASCII),
@@ -39,7 +44,9 @@
   slots: z.int().min(1).max(MAX_SLOTS),
   state: z.enum(['ready', 'draining']),
   coldMs: z.number().min(0).max(MAX_COLD_MS),
-  version: z.int().min(0)
+  version: z.int().min(0),
+  softwareVersion: z.string().max(MAX_SOFTWARE_VERSION_LENGTH).optional(),
+  bornAt: z.number().min(0).optional()
 })
 
 /** Returns a backend server whose fields have their types and are in range, or undefined if a value does not describe one. */
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -122,6 +122,23 @@
   book: AddressBook
 }
 
+/** Write the record of a roll-out and its status for the operator, if the record still has the expected version. */
+export interface WriteRolloutEffect {
+  kind: 'write-rollout'
+  service: string
+  /** Version that the record's row must have; 0 if it must not exist. */
+  expectedVersion: number
+  value: string
+  status: RolloutStatus
+}
+
+/** What the operator reads of a roll-out. */
+export interface RolloutStatus {
+  status: 'running' | 'completed' | 'rolled-back'
+  /** Software version that takes over. */
+  target: string
+}
+
 /** A newer configuration has been adopted. */
 export interface ConfigurationChangedEffect {
   kind: 'configured'
@@ -168,6 +185,7 @@
   zone?: string
   table?: TableName
   version?: number
+  softwareVersion?: string
   revision?: number
   count?: number
 }
@@ -210,6 +228,10 @@
   | 'store-regained'
   | 'store-takeover'
   | 'store-history-lost'
+  | 'rollout-ordered'
+  | 'rollout-withdrawn'
+  | 'rollout-phase'
+  | 'rollout-decided'
   | 'effect-failed'
   | 'left'
 
@@ -227,6 +249,7 @@
   | ReadTableEffect
   | FindEntriesEffect
   | RegisterEntriesEffect
+  | WriteRolloutEffect
   | ConfigurationChangedEffect
   | ExitEffect
   | LogEffect
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -12,6 +12,7 @@
 import { Registration } from './members/registration.js'
 import { Roles } from './members/roles.js'
 import { Roster } from './members/roster.js'
+import { Rollouts, type RolloutSettings } from './rollouts/rollouts.js'
 import { WarmUp } from './members/warmUp.js'
 import { Cells } from './placement/cells.js'
 import { UNUSED_REPORT } from './placement/placementRequest.js'
@@ -47,6 +48,8 @@
   lingerMs: number
   /** How long after the start of a stop requests may stay open, in milliseconds; unlimited by default. */
   stopLimitMs?: number
+  /** Absent where no roll-outs are ordered, so that software versions of servers do not matter. */
+  rollouts?: RolloutSettings
 }
 
 /** Time between ticks while a request waits for a server. */
@@ -77,6 +80,7 @@
   readonly limits: ServerLimits
   readonly weightedPicker: WeightedPicker
   readonly plannedStop: PlannedStop
+  readonly rollouts: Rollouts
   private readonly _options: EntryOptions
   private readonly _outbox = new Outbox()
   private readonly _joining: Joining
@@ -109,10 +113,30 @@
     })
     this.roles = new Roles(this.roster)
     const { roster, roles, declarations, catalog, invariants } = this
-    const cells = new Cells({ catalog, declarations })
+    const cells = new Cells({
+      catalog, declarations, hasUsableVersion: (server) => this.rollouts.standingOf(server, this._now) !== 'excluded'
+    })
     this.cells = cells
+    this.rollouts = new Rollouts({
+      settings: options.rollouts,
+      catalog,
+      cells,
+      declarations,
+      roster,
+      roles,
+      outbox,
+      confirmedAt: () => this.replication.replicaOf('rollouts').confirmedAt,
+      isRunningOn: (service, versions) => this.requests.isRunningOn(service, versions),
+      serversChanged: (services, now) => this._serversChanged(services, now)
+    })
+    const { rollouts } = this
     const ledger = new RowApplier({
-      reader: options.reader, declarations, catalog, outbox, serversChanged: (services, now) => this.host.serversChanged(services, now)
+      reader: options.reader,
+      declarations,
+      catalog,
+      outbox,
+      rollouts,
+      serversChanged: (services, now) => this._serversChanged(services, now)
     })
     this.replication = new StoreWatch({
       roster,
@@ -120,6 +144,7 @@
       outbox,
       random,
       isSeed: seeds.length === 0 || seeds.some(({ host, port }) => host === identity.host && port === identity.peerPort),
+      followsOptionalTables: () => rollouts.areFollowed,
       rowsChanged: (table, rows, now) => ledger.apply(table, rows, now),
       storeRecovered: (now) => catalog.storeRecovered(now)
     })
@@ -137,9 +162,10 @@
       outbox,
       roles,
       roster,
-      serversChanged: (services, now) => this.host.serversChanged(services, now)
+      serversChanged: (services, now) => this._serversChanged(services, now)
     })
-    this.host = new SchedulerHost({ cells, random, declarations, roster, roles, outbox, tolerances: options.tolerances, holds, limits })
+    const { tolerances } = options
+    this.host = new SchedulerHost({ cells, random, declarations, roster, roles, outbox, tolerances, holds, limits, rollouts })
     this._schedulerClient = new SchedulerClient({
       roster,
       roles,
@@ -162,14 +188,15 @@
       cellSelector,
       holds,
       limits,
-      plannedStop: this.plannedStop
+      plannedStop: this.plannedStop,
+      rollouts
     })
     this.host.connect(this.requests)
   }
 
   /** Handles one event and returns the resulting effects. An earlier time than the last one counts as the last one. */
   handle (event: Event, now: number): Effect[] {
-    if (this._now > 0 && now - this._now > MIN_PAUSE_MS) this.requests.processResumed(now)
+    if (this._now > 0 && now - this._now > MIN_PAUSE_MS) this._processResumed(now)
     this._now = Math.max(this._now, now)
     this._handleEvent(event, this._now)
     if (this.phase === 'starting' && this._callerPortIsOpen && this._isUpToDate) this._enterPhase('ready', this._now)
@@ -236,6 +263,7 @@
       case 'table-read': return this.replication.tableRead(event.table, event.reading, now)
       case 'entries-found': return this._entriesFound(event.book, now)
       case 'caller-port': return this._callerPortChanged(event.isOpen, now)
+      case 'rollout-written': return this.rollouts.written(event.service, event.isDone, now)
       case 'stop': return this._stop(now)
     }
   }
@@ -249,7 +277,9 @@
     this._schedulerClient.tick(now)
     this.host.tick(now)
     this._statements.tick(now)
-    this._registration.tick(this.phase !== 'leaving' && this._isUpToDate, now)
+    const mayLead = this.phase !== 'leaving' && this._isUpToDate
+    this._registration.tick(mayLead, now)
+    this.rollouts.tick(mayLead && this.roles.leaderRank === 0, now)
     if (this.phase === 'ready' && !this.roster.self.isWarm && this._warmUp.ran(now)) this._announceWarm(now)
     this._exitIfIdle(now)
   }
@@ -266,7 +296,19 @@
 
   private _expire (now: number): void {
     const changedServices = this.catalog.expire(now)
-    if (changedServices.size > 0) this.host.serversChanged(changedServices, now)
+    if (changedServices.size > 0) this._serversChanged(changedServices, now)
+  }
+
+  private _serversChanged (services: Iterable<string> | undefined, now: number): void {
+    if (services === undefined) this.rollouts.versions.invalidate()
+    else for (const service of services) this.rollouts.versions.invalidate(service)
+    this.host.serversChanged(services, now)
+  }
+
+  /** Handles the end of a pause of this process, which may have missed changes. */
+  private _processResumed (now: number): void {
+    this.requests.processResumed(now)
+    this.rollouts.versions.processResumed(now)
   }
 
   private _attemptEnded ({ attempt, report, status }: AttemptEvent, now: number): void {
@@ -299,6 +341,8 @@
       case 'queued': return this._schedulerClient.queued(from.instance, message.asks, now)
       case 'unknown': return this._schedulerClient.unknown(from.instance, message.asks, now)
       case 'server-leaving': return this._statements.reported(from.instance, message, now)
+      case 'rollout-report': return this.rollouts.reported(from, message, now)
+      case 'rollout-verdict': return this.rollouts.judged(message, now)
     }
   }
 
--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -90,6 +90,14 @@
   book: AddressBook
 }
 
+/** A write of a roll-out's record ended. It may still be applied later if the store did not answer. */
+export interface RolloutWrittenEvent {
+  kind: 'rollout-written'
+  service: string
+  /** Whether the store applied it, or refused it because the record has changed. */
+  isDone: boolean
+}
+
 /** The port for callers opened or closed. It counts as open until an event says otherwise. */
 export interface CallerPortEvent {
   kind: 'caller-port'
@@ -114,4 +122,5 @@
   | TableReadEvent
   | EntriesFoundEvent
   | CallerPortEvent
+  | RolloutWrittenEvent
   | StopEvent
--- a/packages/core/src/members/peerMessages.ts
+++ b/packages/core/src/members/peerMessages.ts
@@ -2,6 +2,7 @@
 import type { RegisteredServer } from '../discovery/registeredServer.js'
 import type { AttemptReport, GrantBasis, Purpose, RefusalReason } from '../placement/placementRequest.js'
 import type { StatedLimit } from '../placement/serverLimits.js'
+import type { RouteCounts } from '../rollouts/answerCounts.js'
 import type { StoredRow, TableName } from '../store/row.js'
 import type { MemberUpdate } from './member.js'
 
@@ -182,6 +183,27 @@
   incarnation: string
 }
 
+/** Reports to the deciding entry what this entry has seen of a roll-out. */
+export interface RolloutReportMessage {
+  kind: 'rollout-report'
+  service: string
+  /** Version of the store row with the order. */
+  order: number
+  /** Answers that this entry's schedulers have counted since the roll-out began. */
+  routes: RouteCounts[]
+  /** Whether the sender uses former servers no more and none of its requests is running there. */
+  settled: boolean
+}
+
+/** Answers such a report. */
+export interface RolloutVerdictMessage {
+  kind: 'rollout-verdict'
+  service: string
+  order: number
+  /** Whether the target may get further requests. */
+  goesOn: boolean
+}
+
 /** Any message between entries. */
 export type PeerMessage =
   | Ping
@@ -201,6 +223,8 @@
   | UnknownMessage
   | CellLoadMessage
   | ServerLeavingMessage
+  | RolloutReportMessage
+  | RolloutVerdictMessage
 
 /** A member's replicas of the store tables, for a member that joins or has stale replicas. */
 export interface PeerState {
--- a/packages/core/src/placement/candidateSelector.ts
+++ b/packages/core/src/placement/candidateSelector.ts
@@ -13,6 +13,8 @@
   work: WorkEstimate
   policy: QueuePolicy
   rates: LimitedRates
+  /** Whether a server is reserved for the trial of a new version. */
+  isReserved: (record: ServerRecord) => boolean
   context: () => Omit<CandidateContext, 'work' | 'medianBlame' | 'rates'>
 }
 
@@ -53,14 +55,14 @@
 
   /** Whether waiting for a busy server gives a better response time than the best candidate. */
   isWorthWaiting (waiting: WaitingRequest, best: Candidate, waitingAhead: number, now: number): boolean {
-    const { work, rates } = this._options
+    const { work, rates, isReserved } = this._options
     const baseMs = work.baseMs(waiting.request.route, waiting.request.targetMs)
     const costMs = best.costMs - best.transferMs
     if (waiting.late || costMs <= baseMs * MIN_WAIT_GAIN_FACTOR) return false
     const responseTimes: number[] = []
     for (const record of this._options.records.values()) {
       const isRestricted = record.isCold(now) || rates.perMs(record.entry) !== undefined
-      if (record.reach === 'silent' || record.outstanding.size === 0 || isRestricted) continue
+      if (record.reach === 'silent' || record.outstanding.size === 0 || isRestricted || isReserved(record)) continue
       const pace = expectedPace(record, work.meanPace, now)
       responseTimes.push(record.nextResponseMs(now) + work.durationMs(baseMs, pace))
     }
--- a/packages/core/src/placement/capacity.ts
+++ b/packages/core/src/placement/capacity.ts
@@ -8,6 +8,8 @@
   records: ReadonlyMap<string, ServerRecord>
   work: WorkEstimate
   rates: LimitedRates
+  /** Whether a server is reserved for the trial of a new version. */
+  isReserved: (record: ServerRecord) => boolean
   /** Requests per millisecond that this scheduler may send to one cold server. */
   coldRatePerMs: () => number
 }
@@ -41,7 +43,7 @@
     this._coldRatePerMs = 0
     this._limited = []
     for (const record of this._options.records.values()) {
-      if (record.reach === 'silent' || record.moved) continue
+      if (record.reach === 'silent' || record.moved || this._options.isReserved(record)) continue
       const perMs = this._options.rates.perMs(record.entry)
       if (record.isCold(now)) this._coldRatePerMs += Math.min(perMs ?? Infinity, this._options.coldRatePerMs())
       else if (perMs !== undefined) this._limited.push({ slots: this._normalizedSlots(record), perMs })
--- a/packages/core/src/placement/cells.ts
+++ b/packages/core/src/placement/cells.ts
@@ -13,7 +13,7 @@
   zone?: string
   /** Registered servers that are not leaving, including those in disabled zones. */
   servers: RegisteredServer[]
-  /** The subset of `servers` in enabled zones. */
+  /** The subset of `servers` in enabled zones whose software versions may get requests. */
   usable: RegisteredServer[]
 }
 
@@ -21,6 +21,8 @@
 export interface CellsOptions {
   catalog: Catalog
   declarations: Declarations
+  /** Whether a server may get requests as far as its software version is concerned; always by default. */
+  hasUsableVersion?: (server: RegisteredServer) => boolean
 }
 
 /** One scheduler on a small instance can handle this many servers, and a choice among more improves placement little. */
@@ -51,13 +53,18 @@
       cells = divideIntoCells(service, this._options.catalog.readyOf(service))
       this._byService.set(service, cells)
       for (const cell of cells) {
-        cell.usable = cell.servers.filter(({ zone }) => this._options.declarations.zoneIsIn(zone))
+        cell.usable = cell.servers.filter((server) => this._isUsable(server))
         this._byName.set(cell.name, cell)
       }
     }
     return cells
   }
 
+  private _isUsable (server: RegisteredServer): boolean {
+    const { declarations, hasUsableVersion } = this._options
+    return declarations.zoneIsIn(server.zone) && (hasUsableVersion?.(server) ?? true)
+  }
+
   get (service: string, name: string): Cell | undefined {
     this.of(service)
     return this._byName.get(name)
--- a/packages/core/src/placement/scheduler.ts
+++ b/packages/core/src/placement/scheduler.ts
@@ -1,6 +1,7 @@
 /** Assigns the requests of one cell to servers: immediately, after a wait, or not at all. */
 import { RetryBudget, type RetryTolerance } from '../budgets/retryBudget.js'
 import type { ColdTolerance } from '../budgets/coldStartLimiter.js'
+import type { VersionTrial } from '../rollouts/versionTrial.js'
 import { SlidingCount } from '../budgets/slidingCount.js'
 import type { RegisteredServer } from '../discovery/registeredServer.js'
 import { RequestAgeEstimate } from './requestAgeEstimate.js'
@@ -10,7 +11,7 @@
 import type { AttemptReport, Grant, GrantBasis, PlacementRequest, Purpose, Refusal, RefusalReason } from './placementRequest.js'
 import { LimitedRates } from './limitedRates.js'
 import { ReadingRequests } from './readingRequests.js'
-import { ServerRecord, type ProbeAnswer } from './serverRecord.js'
+import { ServerRecord, type OutstandingRequest, type ProbeAnswer } from './serverRecord.js'
 import { FREQUENT_READINGS, type LoadReadingPolicy } from './loadReadingPolicy.js'
 import { ARRIVAL_WINDOW_MS, QueuePolicy } from './queuePolicy.js'
 import { RequestQueue, type WaitingRequest } from './requestQueue.js'
@@ -38,6 +39,8 @@
   mayProbe?: (server: RegisteredServer, now: number) => boolean
   /** How load readings are requested before placements; frequent readings by default. */
   loadReadingPolicy?: () => LoadReadingPolicy
+  /** The trial of a new version of the service, while one runs. */
+  trial?: () => VersionTrial | undefined
 }
 
 /** Callers of refused requests may retry for this long after the last refusal. */
@@ -74,13 +77,14 @@
     this._rates = options.limitedRates ?? UNLIMITED
     const { cold, share, listener, mayProbe = () => true } = options
     const { work, _records: records, _queue: queue, _arrivals: arrivals, _rates: rates } = this
-    this._capacity = new Capacity({ records, work, rates, coldRatePerMs: () => cold().perSecond * share() / 1000 })
+    const isReserved = ({ entry }: ServerRecord): boolean => options.trial?.()?.isReserved(entry) ?? false
+    this._capacity = new Capacity({ records, work, rates, isReserved, coldRatePerMs: () => cold().perSecond * share() / 1000 })
     this._policy = new QueuePolicy({ records, queue, work, capacity: this._capacity, arrivals, rates })
     const context = () => {
       const { freshMs, readings } = this._loadReadingPolicy
       return { cold: cold(), share: share(), freshMs, asks: readings !== 0 }
     }
-    this._selector = new CandidateSelector({ records, work, policy: this._policy, rates, context })
+    this._selector = new CandidateSelector({ records, work, policy: this._policy, rates, isReserved, context })
     this._readings = new ReadingRequests({
       rates, mayProbe, policy: () => this._loadReadingPolicy, probe: (server) => listener.probe(server)
     })
@@ -161,13 +165,21 @@
       this._rates.refund(server)
       if (outstanding.isFurtherAttempt) this._retryBudget.refund(now)
     }
-    if (outstanding && report.outcome === 'answered') {
+    const trial = this._options.trial?.()
+    if (outstanding) trial?.ended(route, record.entry, report, this._usualMs(route, outstanding), now)
+    if (outstanding && report.outcome === 'answered' && !trial?.isTarget(record.entry)) {
       const fullAtEnd = report.load !== undefined && report.load.running + 1 >= report.load.slots
       this.work.recordDuration(route, report.tookMs, { ...outstanding, fullAtEnd })
     }
     this._placeWaiting(now)
   }
 
+  /** How long requests of a route usually take; undefined if nothing is known, or for a server that was cold. */
+  private _usualMs (route: string, { cold }: OutstandingRequest): number | undefined {
+    const usualMs = this.work.baseMs(route, 0)
+    return usualMs === 0 || cold ? undefined : usualMs
+  }
+
   /** Processes the result of a probe; without an answer, the probe has failed. */
   probed (server: string, answer: ProbeAnswer | undefined, now: number): void {
     this._capacity.invalidate()
@@ -198,9 +210,11 @@
   private _placeWaiting (now: number): void {
     if (this._queue.length === 0) return
     const context = this._selector.context(now)
+    const trial = this._options.trial?.()
     let waitingAhead = 0
     for (const waiting of this._queue.all()) {
-      const candidates = this._selector.candidates(waiting.request, context, now)
+      const allCandidates = this._selector.candidates(waiting.request, context, now)
+      const candidates = trial?.eligible(waiting.request, allCandidates, this._records, now) ?? allCandidates
       if (candidates.length === 0) {
         if (waiting.request.purpose === 'hedge') this._removeAndRefuse(waiting, 'overload', now)
         waitingAhead += 1
@@ -234,11 +248,13 @@
     const { request } = waiting
     this._queue.remove(request.id)
     if (usesRetryBudget(request.purpose)) this._retryBudget.spend(now)
-    if (record.isCold(now)) record.cold.spend(now)
+    const cold = record.isCold(now)
+    if (cold) record.cold.spend(now)
+    this._options.trial?.()?.granted(request.route, record.entry)
     this._rates.spend(record.entry)
     const isFurtherAttempt = usesRetryBudget(request.purpose)
     const { deadlineAt } = request
-    record.recordSent(request.id, { sentAt: now, expectedAt: now + responseMs, deadlineAt, pace, full, isFurtherAttempt })
+    record.recordSent(request.id, { sentAt: now, expectedAt: now + responseMs, deadlineAt, pace, full, cold, isFurtherAttempt })
     this._options.listener.granted({ request, server: record.entry, expectedMs: responseMs, basis: basisOf(record, now) })
   }
 
--- a/packages/core/src/placement/schedulerHost.ts
+++ b/packages/core/src/placement/schedulerHost.ts
@@ -11,6 +11,7 @@
 import { PlacementDecisions, requestIdOf, type LocalRequestListener, type RequestOrigin } from './placementDecisions.js'
 import { requestOf, UNUSED_REPORT, type PlacementRequest, type Refusal } from './placementRequest.js'
 import type { Cells } from './cells.js'
+import type { Rollouts } from '../rollouts/rollouts.js'
 import { Overflow } from './overflow.js'
 import { FREQUENT_READINGS, REDUCED_READINGS } from './loadReadingPolicy.js'
 import { Scheduler } from './scheduler.js'
@@ -38,6 +39,7 @@
   tolerances: Tolerances
   holds: ServerHolds
   limits: ServerLimits
+  rollouts: Pick<Rollouts, 'trialOf'>
 }
 
 /** The scheduler of a cell, and the reported loads of the other cells of its service. */
@@ -206,6 +208,7 @@
         limitOf: (server) => limits.of(server), share: () => this._shares.ofLimits(cell, this._now), random
       }),
       mayProbe: (server, now) => !this._options.holds.isHeld(server, now),
+      trial: () => this._options.rollouts.trialOf(service),
       loadReadingPolicy: () => this._options.roster.isLarge ? REDUCED_READINGS : FREQUENT_READINGS,
       listener: {
         granted: (grant) => this._decisions.granted(grant, this._now),
--- a/packages/core/src/placement/serverRecord.ts
+++ b/packages/core/src/placement/serverRecord.ts
@@ -11,6 +11,8 @@
   deadlineAt: number
   pace: number
   full: boolean
+  /** Whether the server was cold when it was sent. */
+  cold?: boolean
   /** Whether it counts against the retry budget. */
   isFurtherAttempt?: boolean
 }
--- a/packages/core/src/requests/requestHandler.ts
+++ b/packages/core/src/requests/requestHandler.ts
@@ -5,6 +5,7 @@
 import type { Outbox, FailureReason } from '../effects.js'
 import type { Invariants } from '../invariants.js'
 import type { Roster } from '../members/roster.js'
+import type { Rollouts } from '../rollouts/rollouts.js'
 import {
   UNUSED_REPORT, type AttemptOutcome, type AttemptReport, type Grant, type Purpose, type Refusal, type RefusalReason
 } from '../placement/placementRequest.js'
@@ -30,6 +31,7 @@
   holds: ServerHolds
   limits: ServerLimits
   plannedStop: PlannedStop
+  rollouts: Pick<Rollouts, 'standingOf' | 'trialOf'>
 }
 
 /** The handler hedges, that is, asks for a second server, once an answer takes this many times as long as expected. */
@@ -82,6 +84,16 @@
     return this._bySchedulerRequest.size > 0
   }
 
+  /** Whether an attempt is running on a server of the service with one of these software versions. */
+  isRunningOn (service: string, versions: readonly string[]): boolean {
+    for (const { attempts } of this._requests.values()) {
+      for (const { server } of attempts.values()) {
+        if (server.service === service && versions.includes(server.softwareVersion ?? '')) return true
+      }
+    }
+    return false
+  }
+
   /** Time at which the next request expires or the next hedge is due. */
   get dueAt (): number {
     let dueAt = Infinity
@@ -364,11 +376,12 @@
 
   /** Returns why the granted server must not be used, or undefined: this entry may have newer information than the scheduler. */
   private _grantRejectionReason (request: OpenRequest, server: RegisteredServer, now: number): string | undefined {
-    const { declarations, catalog, holds, plannedStop } = this._options
+    const { declarations, catalog, holds, plannedStop, rollouts } = this._options
     if (!plannedStop.leavesTimeFor(request.expiresAt)) return 'stopping'
     if (!declarations.zoneIsIn(server.zone)) return 'zone-out'
     if (catalog.get(server.id)?.state === 'draining') return 'draining'
     if (holds.isHeld(server, now)) return 'held'
+    if (rollouts.standingOf(server, now) === 'excluded') return 'other-version'
     if (server.service !== request.spec.service) return 'other-service'
     if (request.avoid.includes(server.id)) return 'used-before'
     if (!request.spec.route.repeatable && request.mayHaveRun) return 'may-have-run'
--- a/packages/core/src/requests/requestLog.ts
+++ b/packages/core/src/requests/requestLog.ts
@@ -2,11 +2,13 @@
 import type { Declarations } from '../configuration/declarations.js'
 import type { FailureReason, Outbox } from '../effects.js'
 import type { AttemptReport, GrantBasis } from '../placement/placementRequest.js'
+import type { Rollouts } from '../rollouts/rollouts.js'
 import type { Attempt, OpenRequest } from './request.js'
 
 export interface RequestLogOptions {
   outbox: Outbox
   declarations: Declarations
+  rollouts: Pick<Rollouts, 'trialOf'>
 }
 
 /** Logs what happens to requests. */
@@ -25,6 +27,7 @@
       route: spec.route.name,
       service: spec.service,
       server: server.id,
+      softwareVersion: this._options.rollouts.trialOf(spec.service) && server.softwareVersion,
       instance: ask.scheduler,
       attempt: id,
       purpose: ask.purpose,
--- a/packages/core/src/store/rowApplier.ts
+++ b/packages/core/src/store/rowApplier.ts
@@ -2,6 +2,7 @@
 import type { Declarations } from '../configuration/declarations.js'
 import type { Catalog, RegistrationChange } from '../discovery/catalog.js'
 import type { Outbox } from '../effects.js'
+import type { Rollouts } from '../rollouts/rollouts.js'
 import type { StoredRow, TableName } from './row.js'
 import type { RowReader } from './rowReader.js'
 
@@ -10,6 +11,7 @@
   declarations: Declarations
   catalog: Catalog
   outbox: Outbox
+  rollouts: Rollouts
   /** Called when servers of these services have changed; undefined means that servers of any service may have changed. */
   serversChanged: (services: Iterable<string> | undefined, now: number) => void
 }
@@ -24,15 +26,18 @@
   }
 
   apply (table: TableName, rows: readonly StoredRow[], now: number): void {
-    if (table === 'declarations') this._applyDeclarations(rows, now)
-    else this._applyRegistrations(rows, now)
+    switch (table) {
+      case 'declarations': return this._applyDeclarations(rows, now)
+      case 'servers': return this._applyRegistrations(rows, now)
+      case 'rollouts': return this._options.rollouts.recorded(rows, now)
+    }
   }
 
   private _applyDeclarations (rows: readonly StoredRow[], now: number): void {
     const { declarations, outbox } = this._options
     let changed = false
     for (const row of rows) {
-      if (this._applyDeclaration(row)) changed = true
+      if (this._applyDeclaration(row, now)) changed = true
     }
     if (!changed) return
     declarations.setEvacuatedZones(new Set(this._evacuatedZones.values()))
@@ -40,9 +45,10 @@
     this._options.serversChanged(undefined, now)
   }
 
-  private _applyDeclaration (row: StoredRow): boolean {
+  private _applyDeclaration (row: StoredRow, now: number): boolean {
     const zone = this._evacuatedZones.get(row.key)
     if (row.value === undefined) {
+      this._options.rollouts.withdrawn(row.key, row.version, now)
       if (zone === undefined) return false
       this._options.outbox.log({ decision: 'zone-in', zone, version: row.version })
       return this._evacuatedZones.delete(row.key)
@@ -51,6 +57,9 @@
     switch (declaration?.kind) {
       case undefined: return this._logUnreadable('declarations', row)
       case 'other': return false
+      case 'rollout':
+        this._options.rollouts.ordered(row.key, declaration.order, row.version, now)
+        return false
       case 'zone-out':
         if (zone === declaration.zone) return false
         this._evacuatedZones.set(row.key, declaration.zone)
@@ -89,7 +98,8 @@
       return
     }
     const isNewIncarnation = previous?.incarnation !== entry.incarnation
-    if (isNewIncarnation) outbox.log({ decision: 'server-listed', server: id, service: entry.service, zone: entry.zone, version })
+    const { service, zone, softwareVersion } = entry
+    if (isNewIncarnation) outbox.log({ decision: 'server-listed', server: id, service, zone, version, softwareVersion })
     if (entry.state === 'draining' && previous?.state !== 'draining') {
       outbox.log(
         { decision: 'server-draining', server: id, service: entry.service, version }
--- a/packages/core/src/store/storeWatch.ts
+++ b/packages/core/src/store/storeWatch.ts
@@ -8,7 +8,7 @@
 import { ChangePublisher } from './changePublisher.js'
 import { Replica } from './replica.js'
 import { ReplicaPull } from './replicaPull.js'
-import { TABLES, type StoredRow, type TableName } from './row.js'
+import { OPTIONAL_TABLES, TABLES, type StoredRow, type TableName } from './row.js'
 import { StoreAccess } from './storeAccess.js'
 
 /** The result of reading a table from the store. */
@@ -26,6 +26,8 @@
   random: Random
   /** Whether other entries join the cluster through this entry. Such an entry reads the store without waiting for replicas from others. */
   isSeed: boolean
+  /** Whether the optional tables are followed at present. */
+  followsOptionalTables: () => boolean
   /** Called with the changed rows of a table. */
   rowsChanged: (table: TableName, rows: StoredRow[], now: number) => void
   /** Called when the store is reachable again after an outage. */
@@ -72,6 +74,7 @@
   private _reportDueAt = Infinity
   /** Time from which this entry, without replicas, reads the store as long as no ready entry is known; drawn once. */
   private _initialReadAt: number | undefined
+  private _wasComplete = false
 
   constructor (options: StoreWatchOptions) {
     this._options = options
@@ -88,7 +91,11 @@
 
   /** Whether there is a replica of every table. */
   get hasAllTables (): boolean {
-    for (const { replica } of this._readers.values()) if (replica.version === undefined) return false
+    for (const [table, { replica }] of this._readers) {
+      // An entry that is serving already goes on while it reads the first rows of an optional table.
+      if (OPTIONAL_TABLES.has(table) && (this._wasComplete || !this._options.followsOptionalTables())) continue
+      if (replica.version === undefined) return false
+    }
     return true
   }
 
@@ -99,7 +106,9 @@
   /** Time since the least recently confirmed replica was known to match the store. */
   maxAgeMs (now: number): number {
     let age = 0
-    for (const { replica } of this._readers.values()) age = Math.max(age, now - replica.confirmedAt)
+    for (const [table, { replica }] of this._readers) {
+      if (this._isFollowed(table)) age = Math.max(age, now - replica.confirmedAt)
+    }
     return age
   }
 
@@ -111,8 +120,10 @@
   tick (now: number): void {
     this._startedAt ??= now
     for (const [table, reader] of this._readers) {
-      if (!reader.reading && now >= reader.nextReadAt && this._isReadDue(table, reader, now)) this._read(table, reader, now)
+      const isIdle = !reader.reading && now >= reader.nextReadAt
+      if (isIdle && this._isFollowed(table) && this._isReadDue(table, reader, now)) this._read(table, reader, now)
     }
+    if (this.hasAllTables) this._wasComplete = true
     this._publisher.tick(now)
     if (!this.hasAllTables) this._pull.pullFromAny(now)
     else if (now >= this._reportDueAt || (now >= this._nextHeartbeatAt && this._isLeader)) this._sendHeartbeat(now)
@@ -209,11 +220,16 @@
     return versions
   }
 
+  private _isFollowed (table: TableName): boolean {
+    return !OPTIONAL_TABLES.has(table) || this._options.followsOptionalTables()
+  }
+
   private _isReadDue (table: TableName, reader: TableReader, now: number): boolean {
     if (this._waitsForFirstTable(table, reader)) return false
     if (reader.replica.version !== undefined) {
       return this._access.mayRead(now - reader.replica.confirmedAt, this.replicaOf('declarations').version)
     }
+    if (OPTIONAL_TABLES.has(table)) return this._access.isFollower
     if (this._options.isSeed || this._access.mayReadInitially(now - this._startedAt!)) return true
     return this._initialReadAt !== undefined && now >= this._initialReadAt && this._pull.sources.length === 0
   }
--- a/packages/entry/src/operators/operatorListener.ts
+++ b/packages/entry/src/operators/operatorListener.ts
@@ -4,7 +4,7 @@
 import { timingSafeEqual } from 'node:crypto'
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http'
 import { parseDocument, ConfigurationError, type Document, type ConfigurationFault } from '@gooseberryspan/core'
-import type { ConfigurationStore } from '@gooseberryspan/store'
+import { parseRolloutRequest, type ConfigurationStore, type RolloutOrders } from '@gooseberryspan/store'
 import { readBody } from '../caller/body.js'
 import { BadRequest } from '../errors.js'
 import { sendJson } from '../runtime/json.js'
@@ -13,12 +13,17 @@
 export interface OperatorOptions {
   token: string
   store: ConfigurationStore
+  rollouts: RolloutOrders
+  /** Whether this deployment orders roll-outs. */
+  hasRollouts: boolean
   status: () => unknown
   /** Generates a change id for requests that have none. */
   newId: () => string
 }
 
 const MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
+const MAX_ORDER_BYTES = 4096
+const WITHDRAWAL = 'DELETE /v1/rollouts/'
 
 /** Creates the request handler of the operators' port. */
 export function operatorListener (options: OperatorOptions): RequestListener {
@@ -41,11 +46,32 @@
     case 'POST /v1/configuration/validate':
       await readDocument(request)
       return sendJson(response, 200, { outcome: 'valid' })
+    case 'POST /v1/rollouts': return orderRollout(request, response, options)
     case 'POST /v1/configuration': return changeConfiguration(request, response, options)
-    default: return sendJson(response, 404, { error: `no ${route}` })
+    default:
+      if (route.startsWith(WITHDRAWAL)) return withdrawRollout(route.slice(WITHDRAWAL.length), response, options)
+      return sendJson(response, 404, { error: `no ${route}` })
   }
 }
 
+async function orderRollout (request: IncomingMessage, response: ServerResponse, options: OperatorOptions): Promise<void> {
+  if (!options.hasRollouts) return sendJson(response, 422, refusalOf('the settings state no exposureShare'))
+  const body = await readBody(request, { holdBytes: MAX_ORDER_BYTES, mostBytes: MAX_ORDER_BYTES })
+  const order = parseRolloutRequest(body.buffered.toString('utf8'))
+  if (!order) return sendJson(response, 422, refusalOf('name the service, the version and the seconds that it may take'))
+  await options.rollouts.place(order)
+  sendJson(response, 200, { outcome: 'accepted' })
+}
+
+async function withdrawRollout (service: string, response: ServerResponse, options: OperatorOptions): Promise<void> {
+  await options.rollouts.withdraw(decodeURIComponent(service))
+  sendJson(response, 200, { outcome: 'accepted' })
+}
+
+function refusalOf (error: string): { outcome: 'refused', error: string } {
+  return { outcome: 'refused', error }
+}
+
 async function changeConfiguration (request: IncomingMessage, response: ServerResponse, options: OperatorOptions): Promise<void> {
   const expected = expectedRevision(request)
   const changeId = request.headers['change-id']
--- a/packages/entry/src/peers/datagramCodec.ts
+++ b/packages/entry/src/peers/datagramCodec.ts
@@ -41,7 +41,9 @@
   withdraw: [['asks', 'numbers']],
   waiting: [['asks', 'numbers']],
   unknown: [['asks', 'numbers']],
-  'server-leaving': [['server', 'string'], ['incarnation', 'string']]
+  'server-leaving': [['server', 'string'], ['incarnation', 'string']],
+  'rollout-report': [['service', 'string'], ['order', 'number'], ['routes', 'answers'], ['settled', 'flag']],
+  'rollout-verdict': [['service', 'string'], ['order', 'number'], ['goesOn', 'flag']]
 }
 
 const KINDS = Object.keys(FIELDS) as Kind[]
@@ -161,12 +163,14 @@
   return { member, standing }
 }
 
-function encodeServer ({ id, incarnation, service, host, port, zone, slots, state, coldMs, version }: RegisteredServer): unknown[] {
-  return [id, incarnation, service, host, port, zone, slots, state, coldMs, version]
+function encodeServer (server: RegisteredServer): unknown[] {
+  const { id, incarnation, service, host, port, zone, slots, state, coldMs, version, softwareVersion } = server
+  const fields = [id, incarnation, service, host, port, zone, slots, state, coldMs, version]
+  return softwareVersion === undefined ? fields : [...fields, softwareVersion]
 }
 
 function decodeServer (item: unknown): RegisteredServer | undefined {
   if (!Array.isArray(item)) return undefined
-  const [id, incarnation, service, host, port, zone, slots, state, coldMs, version] = item as unknown[]
-  return parseRegisteredServer({ id, incarnation, service, host, port, zone, slots, state, coldMs, version })
+  const [id, incarnation, service, host, port, zone, slots, state, coldMs, version, softwareVersion] = item as unknown[]
+  return parseRegisteredServer({ id, incarnation, service, host, port, zone, slots, state, coldMs, version, softwareVersion })
 }
--- a/packages/entry/src/peers/fieldSchemas.ts
+++ b/packages/entry/src/peers/fieldSchemas.ts
@@ -1,7 +1,7 @@
 /** Schemas of the structured fields in messages between entries. */
 import * as z from 'zod'
 
-export const tableSchema = z.enum(['declarations', 'servers'])
+export const tableSchema = z.enum(['declarations', 'servers', 'rollouts'])
 /** A row of a table, or a record of its removal. */
 export const rowSchema = z.object({ key: z.string(), version: z.number(), value: z.string().optional() })
 
@@ -11,6 +11,9 @@
   'answered', 'failed', 'failed-below', 'shed', 'moved', 'unreachable', 'lost', 'cancelled', 'unused'
 ])
 
+const countSchema = z.number().min(0)
+const answerCountSchema = z.object({ total: countSchema, failed: countSchema, timed: countSchema, slow: countSchema })
+
 /** Schemas by the name that a message's field has for its type. */
 export const FIELD_SCHEMAS = {
   table: tableSchema,
@@ -25,5 +28,9 @@
   }),
   limits: z.array(z.object({
     server: z.string(), incarnation: z.string(), perSecond: z.number().min(0), ageMs: z.number().min(0)
+  })),
+  flag: z.boolean(),
+  answers: z.array(z.object({
+    route: z.string(), former: answerCountSchema, target: z.array(answerCountSchema.extend({ server: z.string() }))
   }))
 }
--- a/packages/entry/src/reports/prometheusMetrics.ts
+++ b/packages/entry/src/reports/prometheusMetrics.ts
@@ -1,5 +1,5 @@
 /** Prometheus metrics of an entry: decision counts, request durations and gauges. */
-import type { DecisionLine } from '@gooseberryspan/core'
+import type { DecisionLine, RolloutProgress } from '@gooseberryspan/core'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { countDescriptors } from './processState.js'
 import type { DecisionObserver } from '../runtime/entryNode.js'
@@ -18,6 +18,7 @@
   callerConnections: () => number
   connectionsClosed: () => number
   portStates: () => PortState[]
+  rollouts: () => RolloutProgress[]
   heldBytes: () => number
   notHeld: () => number
 }
@@ -63,6 +64,7 @@
     this._addGauge('caller_connections', 'Open connections of callers.', source.callerConnections)
     this._addGauge('connections_closed', 'Connections closed or refused since start to save descriptors.', source.connectionsClosed)
     this._addPorts(source.portStates)
+    this._addRollouts(source.rollouts)
     this._addGauge('held_bytes', 'Bytes of bodies and answers held for callers.', source.heldBytes)
     this._addGauge('not_held', 'Requests and answers not held since start, for want of memory or since too many are open.', source.notHeld)
     this._addGauge('resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
@@ -93,6 +95,22 @@
     })
   }
 
+  private _addRollouts (read: () => RolloutProgress[]): void {
+    const gauge: Gauge = new Gauge({
+      name: 'gooseberryspan_rollout_requests',
+      help: 'Requests that schedulers of this entry gave to servers of either version during a roll-out.',
+      labelNames: ['service', 'side'],
+      registers: [this.registry],
+      collect: () => {
+        gauge.reset()
+        for (const { service, requests, targetRequests } of read()) {
+          gauge.set({ service, side: 'target' }, targetRequests)
+          gauge.set({ service, side: 'former' }, Math.max(0, requests - targetRequests))
+        }
+      }
+    })
+  }
+
   private _addGauge (name: string, help: string, read: () => number): void {
     const gauge: Gauge = new Gauge({ name: `gooseberryspan_${name}`, help, registers: [this.registry], collect: () => gauge.set(read()) })
   }
--- a/packages/entry/src/runtime/entryNode.ts
+++ b/packages/entry/src/runtime/entryNode.ts
@@ -248,6 +248,7 @@
       case 'read-table': return this._handlers.store.read(effect)
       case 'find-entries': return this._handlers.store.findEntries()
       case 'register-entries': return this._handlers.store.registerEntries(effect.book)
+      case 'write-rollout': return this._handlers.store.writeRollout(effect)
       case 'pull': return this._pull(effect.host, effect.port)
       case 'configured': return this._handlers.configured()
       case 'left': return this._handlers.left()
--- a/packages/entry/src/runtime/status.ts
+++ b/packages/entry/src/runtime/status.ts
@@ -1,5 +1,5 @@
 /** The status that an entry reports about itself. */
-import type { EntryCore, MemberUpdate, Reachability } from '@gooseberryspan/core'
+import type { EntryCore, MemberUpdate, Reachability, RolloutProgress } from '@gooseberryspan/core'
 
 /** A count with its name. */
 export interface NamedCount {
@@ -47,6 +47,8 @@
   /** Number of backend servers that have stated how many requests a second they take. */
   limitedServers: number
   openRequests: number
+  /** Roll-outs, with the requests that schedulers of this entry have placed. */
+  rollouts: RolloutProgress[]
   servers: ServerStatus[]
   /** Number of violations of each invariant; empty while no invariant has been violated. */
   broken: NamedCount[]
@@ -72,6 +74,7 @@
     heldServers: core.holds.count(now),
     limitedServers: core.limits.count,
     openRequests,
+    rollouts: core.rollouts.progress(),
     servers: serversOf(core, now),
     broken: [...core.invariants.counts].map(([name, count]) => ({ name, count })),
     control,
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -63,6 +63,12 @@
     coldOverage: optional(z.number().min(0).default(1.5)).describe('How far requests to a cold backend server may go beyond its rate.'),
     coldSlack: optional(z.number().min(0).default(3)).describe('Requests to a cold backend server beyond that within one second.')
   }).prefault({}),
+  rollouts: z.strictObject({
+    exposureShare: optional(z.number().min(0).max(1).optional()).describe(
+      'Part of a service\'s requests that a new software version gets until it has passed; without it, versions do not matter.'
+    ),
+    exposureSlack: optional(z.number().min(0).default(0)).describe('Further requests that such a version gets in one roll-out.')
+  }).prefault({}),
   backends: z.strictObject({
     connectMs: z.int().min(1).default(250).describe('Longest time for a connection to a backend server, in milliseconds.'),
     probeMs: z.int().min(1).default(60).describe('Longest time for the answer to a probe, in milliseconds.'),
--- a/packages/entry/src/store/storeExecutor.ts
+++ b/packages/entry/src/store/storeExecutor.ts
@@ -1,7 +1,9 @@
 /** Executes the core's store operations. Each table read reports exactly one result: the rows, the changes or the reason of a failure. */
 import { Channel, awaitPromise, takeUnlessClosed, type Child, type Scope, type ProcessBody } from '@gooseberryspan/csp'
-import type { AddressBook, ReadTableEffect, TableName, TableReadResult } from '@gooseberryspan/core'
-import type { Store } from '@gooseberryspan/store'
+import {
+  TABLES, type AddressBook, type ReadTableEffect, type RolloutStatus, type TableName, type TableReadResult, type WriteRolloutEffect
+} from '@gooseberryspan/core'
+import type { RowName, Store } from '@gooseberryspan/store'
 import { ADDRESS_BOOK_ROW, decodeAddressBook, encodeAddressBook } from './addressBookRow.js'
 
 /** Options of a `StoreExecutor`. */
@@ -11,6 +13,10 @@
   read: (table: TableName, reading: TableReadResult) => void
   /** Receives the registered entries. */
   found: (book: AddressBook) => void
+  /** Name and text of the row in which operators read the status of a service's roll-out. */
+  rolloutStatusRow: (service: string, status: RolloutStatus) => RowName & { value: string }
+  /** Receives the end of each write of a roll-out's record. */
+  rolloutWritten: (service: string, isDone: boolean) => void
   /** Receives the error of each operation that failed. */
   failed: (call: string, error: Error) => void
 }
@@ -25,7 +31,7 @@
 
   constructor (options: StoreExecutorOptions) {
     this._options = options
-    for (const table of ['declarations', 'servers'] as const) this._readRequests.set(table, new Channel(1))
+    for (const table of TABLES) this._readRequests.set(table, new Channel(1))
   }
 
   /** Schedules a read of a table. Reports the table as unavailable if a read of it is still queued. */
@@ -51,6 +57,26 @@
     })
   }
 
+  /** Writes the record of a roll-out and its status, if nobody has changed the record meanwhile. */
+  writeRollout ({ service, expectedVersion, value, status }: WriteRolloutEffect): void {
+    const { store, rolloutStatusRow, rolloutWritten } = this._options
+    const record = { table: 'rollouts', key: service }
+    const isQueued = this._tasks.offer(async () => {
+      try {
+        await store.transact({
+          conditions: [{ ...record, version: expectedVersion }],
+          puts: [{ ...record, value }, rolloutStatusRow(service, status)],
+          removes: []
+        })
+        rolloutWritten(service, true)
+      } catch (error) {
+        rolloutWritten(service, false)
+        throw error
+      }
+    })
+    if (!isQueued) setImmediate(() => rolloutWritten(service, false))
+  }
+
   /** Returns one process per table and one for all other operations. */
   workers (): Child[] {
     const executor = this
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -3,11 +3,11 @@
 import type { IncomingMessage } from 'node:http'
 import type { Logger } from 'pino'
 import {
-  EntryCore, SeededRandom, type DecisionLine, type EntryOptions, type Invariant, type RowReader, type Tolerances
+  EntryCore, SeededRandom, type DecisionLine, type EntryOptions, type ExposureLimit, type Invariant, type RowReader, type Tolerances
 } from '@gooseberryspan/core'
 import { ENDLESS_RESTART_POLICY, RESTART_POLICY, Supervisor, type Child, type SupervisorListener } from '@gooseberryspan/csp'
 import {
-  ConfigurationStore, HttpClient, HttpStore, DefaultStoreProtocol, DefaultRowReader, type Store, type StoreProtocol
+  ConfigurationStore, RolloutOrders, HttpClient, HttpStore, DefaultStoreProtocol, DefaultRowReader, type Store, type StoreProtocol
 } from '@gooseberryspan/store'
 import { BackendClient } from './backend/backendClient.js'
 import { ProbeClient } from './backend/probeClient.js'
@@ -198,6 +198,8 @@
     store,
     read: (table, reading) => node.handle({ kind: 'table-read', table, reading }),
     found: (book) => node.handle({ kind: 'entries-found', book }),
+    rolloutStatusRow: (service, status) => formats.protocol.rolloutStatusRow(service, status),
+    rolloutWritten: (service, isDone) => node.handle({ kind: 'rollout-written', service, isDone }),
     failed: (call, error) => log.info({ decision: 'store-failed', reason: error.message, call })
   })
   const ticker = new Ticker(node)
@@ -353,7 +355,9 @@
     lingerMs: settings.stop.lingerSeconds * 1000,
     stopLimitMs: Math.max(0, settings.stop.graceSeconds * 1000 - STOP_MARGIN_MS)
   }
-  const core = new EntryCore({ ...head, reader, random: new SeededRandom(seed), watcher: invariantReporter(options) })
+  const limit = exposureOf(settings)
+  const rollouts = limit && { limit, timeOfDay: Date.now }
+  const core = new EntryCore({ ...head, rollouts, reader, random: new SeededRandom(seed), watcher: invariantReporter(options) })
   return { core, head }
 }
 
@@ -364,6 +368,11 @@
   }
 }
 
+/** A deployment without a limit of exposure orders no roll-outs. */
+function exposureOf ({ rollouts: { exposureShare: share, exposureSlack: slack } }: Settings): ExposureLimit | undefined {
+  return share === undefined ? undefined : { share, slack }
+}
+
 function invariantReporter (options: EntryProcessOptions): EntryOptions['watcher'] {
   return {
     broken: (invariant, detail) => {
@@ -386,7 +395,14 @@
   const { token, address } = settings.operators
   if (token === undefined) return undefined
   const newId = (): string => randomBytes(12).toString('hex')
-  const listener = operatorListener({ token, store: new ConfigurationStore(store), status: () => node.status(), newId })
+  const listener = operatorListener({
+    token,
+    store: new ConfigurationStore(store),
+    rollouts: new RolloutOrders(store),
+    hasRollouts: exposureOf(settings) !== undefined,
+    status: () => node.status(),
+    newId
+  })
   return new HttpListener(listener, { ...parseHostPort(address), ...DEFAULT_TIMEOUTS, ...limits })
 }
 
@@ -415,7 +431,8 @@
       connectionsClosed: () => losses.totalOf(CONNECTION_LOST),
       heldBytes: () => budget.bytes,
       notHeld: () => losses.totalOf(NOT_HELD),
-      portStates
+      portStates,
+      rollouts: () => node.core.rollouts.progress()
     })
     decisionObservers.push(prometheusMetrics)
     port = new HttpListener(metricsListener(prometheusMetrics), { ...parseHostPort(metrics.address), ...DEFAULT_TIMEOUTS, ...limits })
--- a/packages/operator/src/client/operatorClient.ts
+++ b/packages/operator/src/client/operatorClient.ts
@@ -24,6 +24,22 @@
   error?: string
 }
 
+/** The entry's answer to an order of a roll-out. */
+export interface RolloutResult {
+  outcome: 'accepted' | 'refused' | 'unavailable'
+  error?: string
+}
+
+/** A roll-out as an entry knows it; the counts are of the requests that its own schedulers have placed. */
+export interface RolloutProgress {
+  service: string
+  target: string
+  former: string[]
+  phase: string
+  requests: number
+  targetRequests: number
+}
+
 /** Sends requests to the operators' interface of one entry. */
 export class OperatorClient {
   private readonly _options: ClientOptions
@@ -41,6 +57,18 @@
     return await this._send('POST', '/v1/configuration', text, { 'if-match': String(revision), 'change-id': changeId }) as ChangeResult
   }
 
+  async orderRollout (service: string, version: string, seconds: number): Promise<RolloutResult> {
+    return await this._send('POST', '/v1/rollouts', JSON.stringify({ service, version, seconds })) as RolloutResult
+  }
+
+  async withdrawRollout (service: string): Promise<RolloutResult> {
+    return await this._send('DELETE', `/v1/rollouts/${encodeURIComponent(service)}`) as RolloutResult
+  }
+
+  async rollouts (): Promise<RolloutProgress[]> {
+    return (await this.status() as { rollouts: RolloutProgress[] }).rollouts
+  }
+
   async status (): Promise<unknown> {
     return await this._send('GET', '/v1/status')
   }
--- a/packages/operator/src/program.ts
+++ b/packages/operator/src/program.ts
@@ -5,6 +5,7 @@
 import { apply, diff, validate, zone, type ApplyOptions } from './commands/documents.js'
 import { explain, logSource } from './commands/explain.js'
 import { StandardOutput, type Output } from './commands/output.js'
+import { listRollouts, orderRollout, withdrawRollout, type RolloutOptions } from './commands/rollouts.js'
 import { EXIT, CommandError } from './errors.js'
 
 interface ConnectionOptions {
@@ -54,6 +55,16 @@
   program.command('zone <state> <name>').description('take an availability zone out of service or put it back; state is out or in')
     .action(async (state: string, name: string) =>
       setExitCode(await zone(createClient(connection()), name, parseZoneState(state), output())))
+  const rollout = program.command('rollout').description('move a service to another software version of its backend servers')
+  rollout.command('order <service> <version>').description('order that a version takes over; exit code 1 if it is taken back')
+    .requiredOption('--seconds <seconds>', 'time that the roll-out may take', parseWholeNumber)
+    .option('--wait', 'wait for its end', false)
+    .action(async (service: string, version: string, options: RolloutOptions) =>
+      setExitCode(await orderRollout(createClient(connection()), service, version, options, output())))
+  rollout.command('withdraw <service>').description('withdraw an order; a roll-out that has not ended is taken back')
+    .action(async (service: string) => setExitCode(await withdrawRollout(createClient(connection()), service, output())))
+  rollout.command('list').description('show the roll-outs that the entry knows')
+    .action(async () => setExitCode(await listRollouts(createClient(connection()), output())))
   program.command('status').description('show the state of an entry')
     .action(async () => setExitCode(await status(createClient(connection()), output())))
   program.command('explain <request> [logs...]').description(
--- a/packages/standins/src/backend/standInBackend.ts
+++ b/packages/standins/src/backend/standInBackend.ts
@@ -19,6 +19,7 @@
   /** Requests a second that the server can handle while it is cold, and how long it stays cold. */
   coldPerSecond: number
   coldMs: number
+  softwareVersion?: string
   random: Random
   truth: BackendCounts
 }
@@ -138,6 +139,7 @@
   private _coldArrivals: number[] = []
   private _incarnation = 1
   private _draining = false
+  private readonly _bornAt = Date.now()
   private _port = 0
 
   constructor (options: BackendOptions) {
@@ -170,10 +172,11 @@
 
   /** The server's registration, as it is written to the store. */
   registration (): ServerRegistration {
-    const { service, zone, host, slots } = this._options
+    const { service, zone, host, slots, softwareVersion } = this._options
     const coldMs = Math.max(0, this._coldUntil - performance.now())
     const state = this._draining ? 'draining' : 'ready'
-    return { incarnation: String(this._incarnation), service, zone, host, port: this._port, slots, state, coldMs }
+    const incarnation = String(this._incarnation)
+    return { incarnation, service, zone, host, port: this._port, slots, state, coldMs, softwareVersion, bornAt: this._bornAt }
   }
 
   /** Marks the server as draining. */
--- a/packages/store/src/defaultStoreProtocol.ts
+++ b/packages/store/src/defaultStoreProtocol.ts
@@ -1,7 +1,8 @@
 /** The default store protocol, described in `docs/store-contract.md`. */
+import type { RolloutStatus } from '@gooseberryspan/core'
 import * as z from 'zod'
 import type { RowPage, StatusMeaning, StoreCall, StoreProtocol } from './protocol.js'
-import type { Transaction } from './store.js'
+import type { RowName, Transaction } from './store.js'
 
 const pageSchema = z.object({
   rows: z.array(z.object({ key: z.string(), version: z.number(), value: z.string().optional() })),
@@ -39,6 +40,10 @@
     return { method: 'GET', path: objectPath(name) }
   }
 
+  rolloutStatusRow (service: string, status: RolloutStatus): RowName & { value: string } {
+    return { table: 'status', key: `rollout/${service}`, value: JSON.stringify(status) }
+  }
+
   meaningOf (status: number): StatusMeaning {
     return STATUS_MEANINGS[status] ?? 'unavailable'
   }
--- a/packages/store/src/protocol.ts
+++ b/packages/store/src/protocol.ts
@@ -1,5 +1,5 @@
 /** Interface for encoding calls to a store and decoding its responses. Each platform has its own protocol. */
-import type { StoredRow } from '@gooseberryspan/core'
+import type { RolloutStatus, StoredRow } from '@gooseberryspan/core'
 import type { RowName, Transaction } from './store.js'
 
 /** One HTTP request to the store. */
@@ -27,6 +27,8 @@
   transact (transaction: Transaction): StoreCall
   putObject (name: string, text: string): StoreCall
   getObject (name: string): StoreCall
+  /** The row in which operators read the status of a service's roll-out. */
+  rolloutStatusRow (service: string, status: RolloutStatus): RowName & { value: string }
   meaningOf (status: number): StatusMeaning
   readPage (text: string): RowPage
   readVersion (text: string): number
--- a/tests/reference.spec.ts
+++ b/tests/reference.spec.ts
@@ -28,6 +28,7 @@
       callerConnections: none,
       connectionsClosed: none,
       portStates: () => [],
+      rollouts: () => [],
       heldBytes: none,
       notHeld: none
     })
--- a/utils/mutations.mjs
+++ b/utils/mutations.mjs
@@ -86,6 +86,14 @@
   ['departed-caller', 'requests/requestHandler.js', "this._options.outbox.put({ kind: 'discard', request: id });", '', [],
     'should keep nothing of requests whose callers left'],
   ['late-in-a-stop', 'requests/plannedStop.js', 'return expiresAt <= this.closesAt;', 'return true;', [], 'may not end within the grace time of a stop'],
+  ['rollout-order', 'rollouts/serviceVersions.js', 'if (startOf(server) <= oldestAt + COMMON_START_MS)', 'if (true)', [],
+    'should give nothing to another version before'],
+  ['exposure', 'rollouts/versionTrial.js', 'return former;\n        const target', 'return candidates;\n        const target', [
+    ['rollouts/versionTrial.js', 'if (this._given + 1 > this._arrived * usedShare + usableSlack)', 'if (false)']
+  ], 'within its exposure'],
+  ['rollout-completed', 'rollouts/rolloutDecider.js', 'return this._isSettled(record.service, state, now) ?', 'return true ?', [],
+    'roll-outs should'],
+  ['rollout-bad', 'rollouts/versionJudgement.js', "return 'bad';", "return 'good';", [], 'should take back a bad version'],
   ['stop-cuts-nothing', 'entryCore.js', 'this.requests.open > 0 || ', '']
 ]
 
