Serve customers by their keys and quotas

Change: keys by digest, checked for each request; the customer's name set by the entry alone; quotas counted by one keeper for each group of customers; under shortage, customers that are served too seldom first.

--- a/packages/core/src/configuration/declarations.ts
+++ b/packages/core/src/configuration/declarations.ts
@@ -1,6 +1,6 @@
 /** The configuration in force at one entry. Its revision never decreases. */
 import type { Invariants } from '../invariants.js'
-import type { CallerLimits, GatewayConfiguration, Route, ServicePolicy } from './gateway.js'
+import type { CallerLimits, Customer, GatewayConfiguration, Route, ServicePolicy } from './gateway.js'
 import { RouteTable, type RouteQuery } from './routeTable.js'
 
 /** The gateway configuration in force and the zones that operators have evacuated. */
@@ -8,6 +8,8 @@
   private _gateway: GatewayConfiguration | undefined
   private _routes = new RouteTable([])
   private _services = new Map<string, ServicePolicy>()
+  private _customers = new Map<string, Customer>()
+  private _customersByKey = new Map<string, Customer>()
   private _evacuated: ReadonlySet<string> = new Set()
   private readonly _invariants: Invariants
 
@@ -35,6 +37,8 @@
     this._gateway = gateway
     this._routes = new RouteTable(gateway.routes)
     this._services = new Map(gateway.services.map((service) => [service.name, service]))
+    this._customers = new Map(gateway.customers?.map((customer) => [customer.name, customer]))
+    this._customersByKey = new Map(gateway.customers?.flatMap((customer) => customer.keyDigests.map((digest) => [digest, customer])))
     return true
   }
 
@@ -56,6 +60,20 @@
     return this._services.get(name)
   }
 
+  /** Whether requests carry keys of customers. */
+  get hasCustomers (): boolean {
+    return this._gateway?.customers !== undefined
+  }
+
+  /** The customer that holds the key with a digest. */
+  customerOfKey (digest: string): Customer | undefined {
+    return this._customersByKey.get(digest)
+  }
+
+  customer (name: string): Customer | undefined {
+    return this._customers.get(name)
+  }
+
   get services (): IterableIterator<ServicePolicy> {
     return this._services.values()
   }
--- a/packages/core/src/configuration/delta.ts
+++ b/packages/core/src/configuration/delta.ts
@@ -1,6 +1,6 @@
 /** Computes the differences between two configuration documents, for display to operators. */
 import { isDeepStrictEqual } from 'node:util'
-import type { DeclaredRoute, Document, Service, Zone } from './document.js'
+import type { DeclaredCustomer, DeclaredRoute, Document, Service, Zone } from './document.js'
 
 /** Added or changed items, and the names of removed items. */
 export interface Delta {
@@ -10,6 +10,8 @@
   removedServices: string[]
   routes: DeclaredRoute[]
   removedRoutes: string[]
+  customers: DeclaredCustomer[]
+  removedCustomers: string[]
   policies?: Document['policies']
 }
 
@@ -21,7 +23,9 @@
     services: changed(from.services, to.services),
     removedServices: removed(from.services, to.services),
     routes: changed(from.routes, to.routes),
-    removedRoutes: removed(from.routes, to.routes)
+    removedRoutes: removed(from.routes, to.routes),
+    customers: changed(from.customers ?? [], to.customers ?? []),
+    removedCustomers: removed(from.customers ?? [], to.customers ?? [])
   }
   if (!isDeepStrictEqual(from.policies, to.policies)) delta.policies = to.policies
   return delta
--- a/packages/core/src/configuration/document.ts
+++ b/packages/core/src/configuration/document.ts
@@ -2,7 +2,7 @@
 import { parse } from 'yaml'
 import * as z from 'zod'
 import { ConfigurationError, type ConfigurationFault } from '../errors.js'
-import type { GatewayConfiguration, Route } from './gateway.js'
+import type { Customer, GatewayConfiguration, Route } from './gateway.js'
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'must be lower case letters, digits and hyphens, at most 63')
 const path = z.string().startsWith('/')
@@ -22,6 +22,7 @@
   targetMs: z.int().min(1).max(600_000).optional()
     .describe('Time within which an answer has its full worth, in milliseconds; a quarter of the deadline when absent.'),
   weight: z.number().positive().max(100).default(1).describe('Worth of one request when capacity is short.'),
+  open: z.boolean().default(false).describe('Whether requests need no key of a customer.'),
   attempts: z.int().min(1).max(10).default(2).describe('Backend servers that one request may be sent to.')
 }
 
@@ -64,11 +65,22 @@
   idleMs: z.int().min(100).max(3_600_000).default(15_000).describe('Longest time that a caller\'s connection may be idle, in milliseconds.')
 })
 
+const customer = z.strictObject({
+  name: z.string().regex(/^[\x21-\x7e]{1,200}$/, 'must be 1 to 200 visible ASCII characters')
+    .describe('Name of the customer; backend servers receive it with each request.'),
+  keyDigests: z.array(z.string().regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 digest in hexadecimal')).min(1)
+    .describe('SHA-256 digests of the customer\'s keys.'),
+  priority: z.number().min(0).optional().describe('Goes before the worth of the request when capacity is short; lower is served first.'),
+  ratePerSecond: z.number().min(0).default(0).describe('Requests a second over all entries; 0 for no limit.'),
+  burst: z.number().min(0).default(0).describe('Further requests at once.')
+})
+
 /** The schema of the document. The settings reference is generated from it. */
 export const documentSchema = z.strictObject({
   zones: z.array(zone).min(1),
   services: z.array(service),
   routes: z.array(route).default([]),
+  customers: z.array(customer).optional().describe('With customers, each request needs a key.'),
   policies: policies.prefault({})
 })
 
@@ -80,6 +92,8 @@
 export type Service = Document['services'][number]
 /** One kind of request of a service. */
 export type Kind = Service['kinds'][number]
+/** One declared customer. */
+export type DeclaredCustomer = NonNullable<Document['customers']>[number]
 /** One declared route. */
 export type DeclaredRoute = Document['routes'][number]
 
@@ -102,14 +116,16 @@
   if (!result.success) {
     throw new ConfigurationError(result.error.issues.map((issue) => ({ path: issue.path.join('.'), reason: issue.message })))
   }
-  const { zones, services, routes } = result.data
+  const { zones, services, routes, customers = [] } = result.data
   const faults = [
     ...duplicateNames('zones', zones),
     ...duplicateNames('services', services),
     ...duplicateNames('routes', routes),
     ...duplicatePaths(services),
     ...services.flatMap((item, index) => duplicateNames(`services.${index}.kinds`, item.kinds)),
-    ...unknownServices(routes, services)
+    ...unknownServices(routes, services),
+    ...duplicateNames('customers', customers),
+    ...sharedKeys(customers)
   ]
   if (faults.length > 0) throw new ConfigurationError(faults)
   return result.data
@@ -125,6 +141,7 @@
       name: item.name, probePath: item.probePath, connections: item.connections, coldMs: item.coldMs, coldPerSecond: item.coldPerSecond
     })),
     limits: { headerBytes: maxHeaderBytes, bodyBytes: maxBodyBytes, headerMs, idleMs, maxDepth },
+    customers: document.customers,
     zonesOut: zones.filter((item) => item.state === 'out').map((item) => item.name)
   }
 }
@@ -151,13 +168,16 @@
   }
 }
 
-function requestPolicyOf (item: Kind | DeclaredRoute): Pick<Route, 'repeatable' | 'timeoutMs' | 'targetMs' | 'priority' | 'attempts'> {
+type RequestPolicy = Pick<Route, 'repeatable' | 'timeoutMs' | 'targetMs' | 'priority' | 'attempts' | 'open'>
+
+function requestPolicyOf (item: Kind | DeclaredRoute): RequestPolicy {
   return {
     repeatable: item.idempotent,
     timeoutMs: item.deadlineMs,
     targetMs: item.targetMs ?? item.deadlineMs * DEFAULT_TARGET_FRACTION,
     priority: 1 / item.weight,
-    attempts: item.attempts
+    attempts: item.attempts,
+    open: item.open
   }
 }
 
@@ -171,6 +191,20 @@
   return faults
 }
 
+/** One key names one customer. */
+function sharedKeys (customers: ReadonlyArray<Pick<Customer, 'name' | 'keyDigests'>>): ConfigurationFault[] {
+  const holders = new Map<string, string>()
+  const faults: ConfigurationFault[] = []
+  for (const [index, { name, keyDigests }] of customers.entries()) {
+    for (const [at, digest] of keyDigests.entries()) {
+      const holder = holders.get(digest)
+      if (holder !== undefined) faults.push({ path: `customers.${index}.keyDigests.${at}`, reason: `'${holder}' has the same key` })
+      holders.set(digest, name)
+    }
+  }
+  return faults
+}
+
 function duplicatePaths (services: Service[]): ConfigurationFault[] {
   const seen = new Map<string, string>()
   const faults: ConfigurationFault[] = []
--- a/packages/core/src/configuration/gateway.ts
+++ b/packages/core/src/configuration/gateway.ts
@@ -27,6 +27,21 @@
   priority: number
   /** Maximum number of backend servers that one request may be sent to. */
   attempts: number
+  /** Whether requests need no key of a customer. */
+  open?: boolean
+}
+
+/** A customer, whose requests carry one of its keys. */
+export interface Customer {
+  name: string
+  /** SHA-256 digests of its keys, in hexadecimal. */
+  keyDigests: readonly string[]
+  /** Priority of its requests, which goes before that of the route; lower numbers are served first. */
+  priority?: number
+  /** Requests a second that all entries together accept; no limit when absent or 0. */
+  ratePerSecond?: number
+  /** Further requests that are accepted at once. */
+  burst?: number
 }
 
 /** Connection, probe and warm-up settings for the backend servers of a service. */
@@ -61,6 +76,8 @@
   routes: readonly Route[]
   services: readonly ServicePolicy[]
   limits: CallerLimits
+  /** Customers; absent if requests carry no keys. */
+  customers?: readonly Customer[]
   /** Zones that the configuration document takes out of service. */
   zonesOut: readonly string[]
 }
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -50,6 +50,8 @@
   | 'shed'
   /** It was sent, and no complete answer came. */
   | 'lost'
+  /** Its customer has used up its quota. */
+  | 'quota'
   /** This entry is stopping. */
   | 'stopping'
 
@@ -163,6 +165,8 @@
   request?: string
   route?: string
   service?: string
+  /** Name of the customer whose request it is. */
+  customer?: string
   server?: string
   /** Another entry. */
   instance?: string
@@ -228,6 +232,7 @@
   | 'store-regained'
   | 'store-takeover'
   | 'store-history-lost'
+  | 'quota-keeper-silent'
   | 'rollout-ordered'
   | 'rollout-withdrawn'
   | 'rollout-phase'
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -1,6 +1,7 @@
 /** Makes all decisions of one entry: takes events with the current time and returns effects. It has no clock, socket or timer. */
 import { Declarations } from './configuration/declarations.js'
 import { WeightedPicker } from './configuration/weightedPicker.js'
+import { Quotas } from './customers/quotas.js'
 import { Catalog } from './discovery/catalog.js'
 import { Outbox, type Effect } from './effects.js'
 import type { AttemptEvent, Event, ProbedEvent, ReceivedEvent } from './events.js'
@@ -81,6 +82,7 @@
   readonly weightedPicker: WeightedPicker
   readonly plannedStop: PlannedStop
   readonly rollouts: Rollouts
+  readonly quotas: Quotas
   private readonly _options: EntryOptions
   private readonly _outbox = new Outbox()
   private readonly _joining: Joining
@@ -176,6 +178,7 @@
       limitsOf: (service, cell, now) => limits.ofAll(cells.usable(service, cell), now),
       timedOut: (schedulerRequest, now) => this.requests.schedulerTimedOut(schedulerRequest, now)
     })
+    this.quotas = new Quotas({ declarations, roster, roles, outbox, random })
     const cellSelector = new CellSelector({ cells, roster, random })
     this.requests = new RequestHandler({
       declarations,
@@ -189,9 +192,11 @@
       holds,
       limits,
       plannedStop: this.plannedStop,
-      rollouts
+      rollouts,
+      quotas: this.quotas
     })
     this.host.connect(this.requests)
+    this.quotas.connect(this.requests)
   }
 
   /** Handles one event and returns the resulting effects. An earlier time than the last one counts as the last one. */
@@ -274,6 +279,7 @@
     this.replication.tick(now)
     this._expire(now)
     this.requests.tick(now)
+    this.quotas.tick(now)
     this._schedulerClient.tick(now)
     this.host.tick(now)
     this._statements.tick(now)
@@ -309,6 +315,7 @@
   private _processResumed (now: number): void {
     this.requests.processResumed(now)
     this.rollouts.versions.processResumed(now)
+    this.quotas.processResumed()
   }
 
   private _attemptEnded ({ attempt, report, status }: AttemptEvent, now: number): void {
@@ -341,6 +348,9 @@
       case 'queued': return this._schedulerClient.queued(from.instance, message.asks, now)
       case 'unknown': return this._schedulerClient.unknown(from.instance, message.asks, now)
       case 'server-leaving': return this._statements.reported(from.instance, message, now)
+      case 'quota-ask': return this.quotas.asked(from, message, now)
+      case 'quota-answer': return this.quotas.answered(from.instance, message, now)
+      case 'quota-refund': return this.quotas.refunded(message)
       case 'rollout-report': return this.rollouts.reported(from, message, now)
       case 'rollout-verdict': return this.rollouts.judged(message, now)
     }
--- a/packages/core/src/members/peerMessages.ts
+++ b/packages/core/src/members/peerMessages.ts
@@ -111,6 +111,8 @@
   bodyBytes?: number
   /** Limits that servers of the cell have stated, as the sender knows them. */
   limits?: StatedLimit[]
+  /** Name of the customer whose request it is, if requests carry keys. */
+  customer?: string
 }
 
 /** Grants a server to a request. */
@@ -204,6 +206,28 @@
   goesOn: boolean
 }
 
+/** Asks the keeper of a customer's quota for one request. */
+export interface QuotaAskMessage {
+  kind: 'quota-ask'
+  /** Number of the sender's request. */
+  ask: number
+  customer: string
+}
+
+/** Answers such a question. */
+export interface QuotaAnswerMessage {
+  kind: 'quota-answer'
+  ask: number
+  /** Present if the quota is used up: when the caller may return. */
+  retryAfterMs?: number
+}
+
+/** Returns a request that was within the quota and has not run. */
+export interface QuotaRefundMessage {
+  kind: 'quota-refund'
+  customer: string
+}
+
 /** Any message between entries. */
 export type PeerMessage =
   | Ping
@@ -225,6 +249,9 @@
   | ServerLeavingMessage
   | RolloutReportMessage
   | RolloutVerdictMessage
+  | QuotaAskMessage
+  | QuotaAnswerMessage
+  | QuotaRefundMessage
 
 /** A member's replicas of the store tables, for a member that joins or has stale replicas. */
 export interface PeerState {
--- a/packages/core/src/members/roles.ts
+++ b/packages/core/src/members/roles.ts
@@ -18,6 +18,7 @@
 export class Roles {
   private readonly _roster: Roster
   private readonly _schedulers = new Map<string, MemberOrder>()
+  private readonly _keepers = new Map<string, MemberOrder>()
   private readonly _logHashes = new Map<string, Map<string, number>>()
   private _leaderCandidates: Member[] | undefined
   private _leaderRank: number | undefined
@@ -30,6 +31,7 @@
   /** Discards the cached candidates after a change of the roster. */
   invalidate (): void {
     this._schedulers.clear()
+    this._keepers.clear()
     this._leaderCandidates = undefined
     this._leaderRank = undefined
     this._warmMembers = undefined
@@ -45,6 +47,16 @@
     return order
   }
 
+  /** Candidates to keep a count for all entries, the preferred one first. Unlike schedulers they need not have warmed up. */
+  keepersOf (count: string): MemberOrder {
+    let order = this._keepers.get(count)
+    if (!order) {
+      order = this._topCandidates(count, this._notLeaving())
+      this._keepers.set(count, order)
+    }
+    return order
+  }
+
   /** Candidates for the change-feed leader, the preferred one first. Members that cannot reach the store come last. */
   get watchers (): MemberOrder {
     this._leaderCandidates ??= this._orderLeaderCandidates()
--- a/packages/core/src/placement/placementRequest.ts
+++ b/packages/core/src/placement/placementRequest.ts
@@ -41,6 +41,8 @@
   targetMs: number
   /** Ids of servers that it must not be sent to. */
   avoid: string[]
+  /** The customer whose request it is. */
+  customer?: string
   /** Availability zone of the entry that will send it. */
   zone: string
   /** Size of its body as far as it is known. */
@@ -112,7 +114,7 @@
 
 /** Converts a message's remaining times to times of this process's clock. */
 export function requestOf (id: string, from: Member, message: PlaceMessage, now: number): PlacementRequest {
-  const { label, service, cell, route, purpose, priority, targetMs, targetLeftMs, leftMs, waitMs, avoid, bodyBytes = 0 } = message
+  const { label, service, cell, route, purpose, priority, targetMs, targetLeftMs, leftMs, waitMs, avoid, bodyBytes = 0, customer } = message
   return {
     id,
     label,
@@ -124,6 +126,7 @@
     targetMs,
     waitMs,
     avoid,
+    customer,
     zone: from.zone,
     bodyBytes,
     targetAt: now + targetLeftMs,
--- a/packages/core/src/placement/requestQueue.ts
+++ b/packages/core/src/placement/requestQueue.ts
@@ -13,13 +13,16 @@
   readingRounds: number
   /** Whether it can no longer meet its target latency. */
   late: boolean
+  /** Whether its customer's requests are served much less often than those of all. */
+  underserved: boolean
 }
 
 /** What the position in the queue depends on. */
-export type QueueRank = Pick<WaitingRequest, 'request' | 'late' | 'firstAskedAt'>
+export type QueueRank = Pick<WaitingRequest, 'request' | 'late' | 'underserved' | 'firstAskedAt'>
 
 /**
- * Requests that can still meet their target come before late ones, then the order is by priority, then the newest request comes first.
+ * Requests that can still meet their target come before late ones, then those of underserved customers come first, then the order is by
+ * priority, then the newest request comes first.
  * With enough servers all requests meet their target in any order. Under overload, the newest ones still meet it on a slow server.
  */
 export class RequestQueue {
@@ -72,8 +75,9 @@
   }
 }
 
-function isServedBefore (waiting: WaitingRequest, { request, late, firstAskedAt }: QueueRank): boolean {
+function isServedBefore (waiting: WaitingRequest, { request, late, underserved, firstAskedAt }: QueueRank): boolean {
   if (waiting.late !== late) return !waiting.late
+  if (waiting.underserved !== underserved) return waiting.underserved
   if (waiting.request.priority !== request.priority) return waiting.request.priority < request.priority
   return waiting.firstAskedAt > firstAskedAt
 }
--- a/packages/core/src/placement/scheduler.ts
+++ b/packages/core/src/placement/scheduler.ts
@@ -3,6 +3,7 @@
 import type { ColdTolerance } from '../budgets/coldStartLimiter.js'
 import type { VersionTrial } from '../rollouts/versionTrial.js'
 import { SlidingCount } from '../budgets/slidingCount.js'
+import { ServedFractions } from '../customers/servedFractions.js'
 import type { RegisteredServer } from '../discovery/registeredServer.js'
 import { RequestAgeEstimate } from './requestAgeEstimate.js'
 import { Capacity } from './capacity.js'
@@ -64,6 +65,7 @@
   private readonly _readings: ReadingRequests
   private readonly _arrivals = new SlidingCount(ARRIVAL_WINDOW_MS)
   private readonly _requestAges = new RequestAgeEstimate()
+  private readonly _served = new ServedFractions()
   private _refusedAt = -Infinity
   private readonly _capacity: Capacity
   private readonly _policy: QueuePolicy
@@ -141,10 +143,12 @@
     this._typicalWorkMs += TYPICAL_WORK_SMOOTHING_RATIO * (this.work.baseMs(route, targetMs) - this._typicalWorkMs)
     const reason = this._policy.unservableReason(request, now)
     if (reason) return this._refuse(request, reason, now)
-    if (this._policy.exceedsLimits({ request, firstAskedAt, late: false }, now)) return this._refuse(request, 'overload', now)
+    const underserved = this._served.isUnderserved(request.customer, now)
+    const rank = { request, firstAskedAt, underserved, late: false }
+    if (this._policy.exceedsLimits(rank, now)) return this._refuse(request, 'overload', now)
     this._recordFirstWait(request, now)
-    const late = !this._policy.meetsTargetInQueue({ request, firstAskedAt, late: false }, now)
-    this._queue.add({ request, queuedAt: now, firstAskedAt, awaitReadingsUntil: 0, readingRounds: 0, late })
+    const late = !this._policy.meetsTargetInQueue(rank, now)
+    this._queue.add({ ...rank, queuedAt: now, awaitReadingsUntil: 0, readingRounds: 0, late })
     this._placeWaiting(now)
     for (let excess = this._policy.excess(now); excess; excess = this._policy.excess(now)) this._removeAndRefuse(excess, 'overload', now)
   }
@@ -247,6 +251,7 @@
   private _grant (waiting: WaitingRequest, { record, responseMs, full, pace }: Candidate, now: number): void {
     const { request } = waiting
     this._queue.remove(request.id)
+    if (isFirstAttempt(request.purpose)) this._served.record(request.customer, true, now)
     if (usesRetryBudget(request.purpose)) this._retryBudget.spend(now)
     const cold = record.isCold(now)
     if (cold) record.cold.spend(now)
@@ -276,6 +281,7 @@
 
   private _refuse (request: PlacementRequest, reason: RefusalReason, now: number): void {
     this._refusedAt = now
+    if (isFirstAttempt(request.purpose)) this._served.record(request.customer, false, now)
     this._options.listener.refused({ request, reason, retryAfterMs: this._policy.retryAfterMs(request, reason, now) })
   }
 
@@ -289,6 +295,11 @@
   return purpose === 'retry' || purpose === 'hedge'
 }
 
+/** Whether nothing has been sent for the request yet. */
+function isFirstAttempt (purpose: Purpose): boolean {
+  return !usesRetryBudget(purpose)
+}
+
 function basisOf ({ reading }: ServerRecord, now: number): GrantBasis | undefined {
   if (!reading) return undefined
   const { at, running, waiting, pace } = reading
--- a/packages/core/src/requests/request.ts
+++ b/packages/core/src/requests/request.ts
@@ -1,5 +1,5 @@
 /** The state that an entry keeps for a caller's request. */
-import type { Route } from '../configuration/gateway.js'
+import type { Customer, Route } from '../configuration/gateway.js'
 import type { RegisteredServer } from '../discovery/registeredServer.js'
 import type { Purpose } from '../placement/placementRequest.js'
 
@@ -12,6 +12,8 @@
   route: Route
   /** The service that the weighted picker assigned it to. */
   service: string
+  /** The customer that holds the request's key; absent if requests carry no keys, and on open routes. */
+  customer?: Customer
   /** How long the caller waits for the answer, in milliseconds. */
   deadlineMs: number
   /** Whether its body is buffered, so that it can be sent again. */
@@ -76,6 +78,8 @@
   hedgeAt: number
   /** Whether part of an answer has been sent to the caller. */
   streaming: boolean
+  /** Whether it counts for the quota of its customer. */
+  counted: boolean
   callerLeft: boolean
 }
 
@@ -104,6 +108,7 @@
     mayHaveRun: false,
     hedgeAt: Infinity,
     streaming: false,
+    counted: false,
     callerLeft: false
   }
 }
--- a/packages/core/src/requests/requestHandler.ts
+++ b/packages/core/src/requests/requestHandler.ts
@@ -1,4 +1,6 @@
 /** Handles a request at the entry that received it: asks a scheduler for a server, runs attempts, returns one answer or refusal. */
+import type { QuotaDecision } from '../customers/quotaBuckets.js'
+import { Quotas, type QuotaListener } from '../customers/quotas.js'
 import type { Declarations } from '../configuration/declarations.js'
 import type { Catalog } from '../discovery/catalog.js'
 import type { RegisteredServer } from '../discovery/registeredServer.js'
@@ -32,6 +34,7 @@
   limits: ServerLimits
   plannedStop: PlannedStop
   rollouts: Pick<Rollouts, 'standingOf' | 'trialOf'>
+  quotas: Quotas
 }
 
 /** The handler hedges, that is, asks for a second server, once an answer takes this many times as long as expected. */
@@ -53,7 +56,7 @@
 const MAY_HAVE_RUN: ReadonlySet<AttemptOutcome> = new Set<AttemptOutcome>(['answered', 'failed', 'failed-below', 'lost'])
 
 /** Accepts requests and ends each with exactly one answer or refusal. */
-export class RequestHandler implements LocalRequestListener {
+export class RequestHandler implements LocalRequestListener, QuotaListener {
   private readonly _options: RequestHandlerOptions
   private readonly _log: RequestLog
   private readonly _requests = new Map<number, OpenRequest>()
@@ -81,7 +84,7 @@
 
   /** Whether any request is waiting for a scheduler to grant a server. */
   get waiting (): boolean {
-    return this._bySchedulerRequest.size > 0
+    return this._bySchedulerRequest.size > 0 || this._options.quotas.waiting
   }
 
   /** Whether an attempt is running on a server of the service with one of these software versions. */
@@ -115,9 +118,28 @@
     const request = newRequest(spec, this._options.cellSelector.choose(spec.service), now)
     this._requests.set(spec.id, request)
     if (!this._options.plannedStop.leavesTimeFor(request.expiresAt)) return this._endForStop(request, now)
+    if (Quotas.isLimited(spec.customer)) return this._options.quotas.ask(spec.id, spec.customer, now)
     this._requestServer(request, 'first', now)
   }
 
+  quotaDecided (id: number, customer: string, decision: QuotaDecision, now: number): void {
+    const request = this._requests.get(id)
+    if (decision.kind === 'exceeded') {
+      if (request) this._end(request, 'quota', decision.retryAfterMs, now)
+      return
+    }
+    if (!request) return this._options.quotas.refund(customer, now)
+    request.counted = true
+    this._requestServer(request, 'first', now)
+  }
+
+  /** Takes a request that has not run back from the count of its customer. */
+  private _refund (request: OpenRequest, now: number): void {
+    if (!request.counted || request.mayHaveRun || request.attempts.size > 0) return
+    request.counted = false
+    this._options.quotas.refund(request.spec.customer!.name, now)
+  }
+
   /** Handles a closed caller connection. Cancels attempts of repeatable requests; attempts of other requests run to their end. */
   callerLeft (id: number, now: number): void {
     const request = this._requests.get(id)
@@ -126,6 +148,7 @@
     this._options.outbox.log({ decision: 'caller-left', request: request.spec.label, count: request.attempts.size })
     this._withdrawAll(request, now)
     if (request.spec.route.repeatable) this._cancelAll(request, now)
+    this._refund(request, now)
     if (request.attempts.size === 0) this._discard(id)
   }
 
@@ -418,6 +441,7 @@
     const { spec, fallbackAttempt } = request
     const { outbox, invariants } = this._options
     const mayHaveRun = request.mayHaveRun || request.attempts.size > 0
+    this._refund(request, now)
     this._close(request, now)
     const retryAfterMs = this._retryAfterMs(request, reason, suggestedMs, now)
     if (fallbackAttempt !== undefined && !request.streaming) {
--- a/packages/core/src/requests/schedulerClient.ts
+++ b/packages/core/src/requests/schedulerClient.ts
@@ -187,14 +187,15 @@
       cell: schedulerRequest.cell,
       route: spec.route.name,
       purpose: schedulerRequest.purpose,
-      priority: spec.route.priority,
+      priority: spec.customer?.priority ?? spec.route.priority,
       targetMs: spec.route.targetMs,
       targetLeftMs: Math.round(targetAt - now),
       leftMs: Math.round(expiresAt - now),
       waitMs: Math.round(spec.deadlineMs),
       avoid: [...avoid, ...this._options.heldServers(spec.service, now)],
       bodyBytes: spec.bodyBytes,
-      limits: limits.length > 0 ? limits : undefined
+      limits: limits.length > 0 ? limits : undefined,
+      customer: spec.customer?.name
     }
   }
 }
--- a/packages/entry/src/backend/backendClient.ts
+++ b/packages/entry/src/backend/backendClient.ts
@@ -206,7 +206,10 @@
     const replacedHeaders = new Set(
       [headers.deadline, headers.expectServer, headers.requestId, headers.depth, headers.retry, headers.service, headers.kind]
     )
+    const { customer } = exchange
+    if (customer !== undefined) for (const name of ['authorization', headers.customer]) replacedHeaders.add(name)
     const headerLines = forwardedHeaders(exchange.rawHeaders, (name) => name === 'content-length' || replacedHeaders.has(name))
+    if (customer?.name !== undefined) headerLines.push(headers.customer, customer.name)
     headerLines.push(headers.requestId, exchange.requestId)
     headerLines.push(headers.deadline, String(Math.max(1, Math.floor(effect.leftMs))))
     headerLines.push(headers.expectServer, effect.server.id)
--- a/packages/entry/src/caller/callerListener.ts
+++ b/packages/entry/src/caller/callerListener.ts
@@ -58,6 +58,7 @@
     if (!node.core.plannedStop.leavesTimeFor(expiryOf(spec, startedAt))) return refuse()
     this._unread.add(refuse)
     const mostBytes = node.core.declarations.limits!.bodyBytes
+    const { hasCustomers } = node.core.declarations
     const { holdBytes } = this._options
     const timeoutMs = expiryOf(spec, startedAt) - startedAt
     const limits = { holdBytes, mostBytes, timeoutMs, take: (bytes: number) => hold.take(bytes) }
@@ -67,7 +68,7 @@
       spec.deadlineMs -= node.now - startedAt
       if (request.socket.destroyed || response.headersSent) return
       const isClosing = (): boolean => this._isClosing(request)
-      const exchange = new Exchange({ request, response, spec, body, hold, dialect: node.dialect, isClosing })
+      const exchange = new Exchange({ request, response, spec, body, hold, dialect: node.dialect, hasCustomers, isClosing })
       this._trackRequest(request, response, spec.id)
       hold.retain()
       node.acceptRequest(exchange)
--- a/packages/entry/src/caller/exchange.ts
+++ b/packages/entry/src/caller/exchange.ts
@@ -16,11 +16,14 @@
   /** The memory that is held for the request. */
   hold: Hold
   dialect: Dialect
+  /** Whether the configuration has customers: keys are not passed on, and servers receive the customer's name from this entry only. */
+  hasCustomers: boolean
   /** Whether the caller's connection should be closed, because this entry is stopping. */
   isClosing: () => boolean
 }
 
 const UNAVAILABLE_STATUS = 503
+const QUOTA_STATUS = 429
 
 /** Sends the caller exactly one complete answer or one refusal, or closes the connection. */
 export class Exchange {
@@ -33,6 +36,8 @@
   /** The caller's id for the request as it came, which the label in logs and messages may cut short. */
   readonly requestId: string
   private readonly _options: ExchangeOptions
+  /** The customer whose request it is, without a name on open routes; undefined if the configuration has no customers. */
+  readonly customer: { name: string | undefined } | undefined
   private _answered = false
   private _streaming = false
 
@@ -44,6 +49,7 @@
     this.method = options.request.method ?? 'GET'
     this.path = options.request.url ?? '/'
     this.rawHeaders = options.request.rawHeaders
+    this.customer = options.hasCustomers ? { name: options.spec.customer?.name } : undefined
     this.requestId = singleHeader(options.request.headers, options.dialect.headers.requestId) ?? options.spec.label
   }
 
@@ -123,9 +129,10 @@
   }
 }
 
-/** Returns the status of a refusal. Status 503 guarantees that the request did not run, so it is used for no other outcome. */
+/** Returns the status of a refusal. Statuses 429 and 503 guarantee that the request did not run, so no other outcome gets them. */
 function statusFor ({ outcome, reason }: RefuseEffect): number {
-  if (outcome === 'not-run') return 503
+  if (reason === 'quota') return QUOTA_STATUS
+  if (outcome === 'not-run') return UNAVAILABLE_STATUS
   return reason === 'deadline' ? 504 : 502
 }
 
--- a/packages/entry/src/defaultDialect.ts
+++ b/packages/entry/src/defaultDialect.ts
@@ -9,6 +9,7 @@
   readonly headers: DialectHeaders
   readonly paths: DialectPaths = { ready: '/readyz', addresses: '/v1/addresses' }
   readonly requiresSignature = false
+  readonly keyScheme = 'Bearer'
 
   constructor (readonly prefix: string) {
     this.headers = {
@@ -22,6 +23,7 @@
       limit: `${prefix}-limit`,
       cold: `${prefix}-cold-ms`,
       retryAfter: 'retry-after',
+      customer: `${prefix}-customer`,
       outcome: `${prefix}-outcome`,
       reason: `${prefix}-reason`,
       kind: `${prefix}-kind`,
--- a/packages/entry/src/dialect.ts
+++ b/packages/entry/src/dialect.ts
@@ -31,6 +31,8 @@
   /** Outcome of a request and the reason for it, sent to callers. */
   outcome?: string
   reason?: string
+  /** Name of the customer, sent to backend servers. */
+  customer: string
   /** Kind of request and service that a caller selects by name. */
   kind?: string
   service?: string
@@ -60,6 +62,8 @@
   readonly paths: DialectPaths
   /** Whether an answer is valid only if it carries the request's id and, on success, the server's signature. */
   readonly requiresSignature: boolean
+  /** Word before a customer's key in the header `authorization`. */
+  readonly keyScheme: string
   /** Parses a server's load report. Excludes the request whose answer carries the report. */
   parseLoadReport (text: string, source: LoadReportSource): LoadReport | undefined
   parseAddressQuery (query: URLSearchParams): AddressQuery
--- a/packages/entry/src/peers/datagramCodec.ts
+++ b/packages/entry/src/peers/datagramCodec.ts
@@ -31,7 +31,7 @@
     ['ask', 'number'], ['label', 'string'], ['service', 'string'], ['cell', 'string'], ['route', 'string'], ['purpose', 'purpose'],
     ['priority', 'number'],
     ['targetMs', 'number'], ['targetLeftMs', 'number'], ['leftMs', 'number'], ['waitMs', 'number'], ['avoid', 'strings'],
-    ['bodyBytes', 'number?'], ['limits', 'limits?']
+    ['bodyBytes', 'number?'], ['limits', 'limits?'], ['customer', 'string?']
   ],
   granted: [['ask', 'number'], ['server', 'server'], ['expectedMs', 'number'], ['basis', 'basis?']],
   queued: [['asks', 'numbers']],
@@ -43,7 +43,10 @@
   unknown: [['asks', 'numbers']],
   'server-leaving': [['server', 'string'], ['incarnation', 'string']],
   'rollout-report': [['service', 'string'], ['order', 'number'], ['routes', 'answers'], ['settled', 'flag']],
-  'rollout-verdict': [['service', 'string'], ['order', 'number'], ['goesOn', 'flag']]
+  'rollout-verdict': [['service', 'string'], ['order', 'number'], ['goesOn', 'flag']],
+  'quota-ask': [['ask', 'number'], ['customer', 'string']],
+  'quota-answer': [['ask', 'number'], ['retryAfterMs', 'number?']],
+  'quota-refund': [['customer', 'string']]
 }
 
 const KINDS = Object.keys(FIELDS) as Kind[]
--- a/packages/entry/src/runtime/entryNode.ts
+++ b/packages/entry/src/runtime/entryNode.ts
@@ -5,7 +5,7 @@
 import type { BackendClient } from '../backend/backendClient.js'
 import type { ProbeClient, ProbeResult } from '../backend/probeClient.js'
 import type { Exchange } from '../caller/exchange.js'
-import type { ResolveContext } from '../caller/resolve.js'
+import type { KeyCurrency, ResolveContext } from '../caller/resolve.js'
 import type { Dialect } from '../dialect.js'
 import type { Envelope } from '../peers/datagramCodec.js'
 import type { DatagramPort } from '../peers/datagramPort.js'
@@ -33,6 +33,8 @@
   logDecisions: boolean
   now: () => number
   decisionObserver: DecisionObserver
+  /** Time after which keys that this entry could not confirm are not served any more, in milliseconds; Infinity if they are. */
+  revokeMs: number
   recorder?: Recorder
 }
 
@@ -54,6 +56,9 @@
   rescheduleTick: () => void
 }
 
+/** Longer than a change takes to reach an entry that is connected. */
+const STALE_KEYS_MS = 2500
+
 /** Connects the core of one entry to the components that receive requests, send messages and read the store. */
 export class EntryNode {
   readonly core: EntryCore
@@ -124,10 +129,18 @@
         this._lastRequestId += 1
         return this._lastRequestId
       },
+      keysAreCurrent: () => this._keyCurrency(),
       generateLabel: (id) => `${roster.self.instance}-${id}`
     }
   }
 
+  private _keyCurrency (): KeyCurrency {
+    const now = this.now
+    const ageMs = now - this.core.replication.replicaOf('declarations').confirmedAt
+    if (ageMs > this._options.revokeMs) return 'expired'
+    return ageMs > STALE_KEYS_MS ? 'stale' : 'current'
+  }
+
   /** Starts a caller's request. */
   acceptRequest (exchange: Exchange): void {
     this._exchanges.set(exchange.spec.id, exchange)
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -63,6 +63,12 @@
     coldOverage: optional(z.number().min(0).default(1.5)).describe('How far requests to a cold backend server may go beyond its rate.'),
     coldSlack: optional(z.number().min(0).default(3)).describe('Requests to a cold backend server beyond that within one second.')
   }).prefault({}),
+  customers: z.strictObject({
+    strictRevoke: optional(z.boolean().default(false)).describe(
+      'Whether an entry that is cut off stops serving keys, since they may have been withdrawn.'
+    ),
+    revokeMs: optional(z.number().min(0).default(5000)).describe('Time after which it does, in milliseconds.')
+  }).prefault({}),
   rollouts: z.strictObject({
     exposureShare: optional(z.number().min(0).max(1).optional()).describe(
       'Part of a service\'s requests that a new software version gets until it has passed; without it, versions do not matter.'
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -91,6 +91,8 @@
 /** Slightly longer than the two seconds within which lapsed registrations are renewed after the store is reachable again. */
 const REGISTRATION_LAPSE_MS = 2300
 
+const REVOKE_MARGIN_MS = 500
+
 const CONNECTION_LOST = 'connection-closed'
 const NOT_HELD = 'not-held'
 /** Bounds the processor time for the requests that wait for a server. */
@@ -168,7 +170,14 @@
   const onRecordFailed = (error: Error): void => log.error({ decision: 'record-ended', err: error })
   const recorder = options.record === undefined ? undefined : new EventRecorder(options.record, built.head, onRecordFailed)
   const node = new EntryNode({
-    core: built.core, dialect: formats.dialect, log, logDecisions: settings.log.decisions, now, decisionObserver, recorder
+    core: built.core,
+    dialect: formats.dialect,
+    log,
+    logDecisions: settings.log.decisions,
+    now,
+    decisionObserver,
+    revokeMs: revokeMsOf(settings),
+    recorder
   })
   components.node = node
   const closeAfter = (request: IncomingMessage): boolean => callerServer.closeAfter(request)
@@ -368,6 +377,11 @@
   }
 }
 
+/** An entry stops a little earlier, since requests that it has accepted still have to reach a server. */
+function revokeMsOf ({ customers: { strictRevoke, revokeMs } }: Settings): number {
+  return strictRevoke ? Math.max(0, revokeMs - REVOKE_MARGIN_MS) : Infinity
+}
+
 /** A deployment without a limit of exposure orders no roll-outs. */
 function exposureOf ({ rollouts: { exposureShare: share, exposureSlack: slack } }: Settings): ExposureLimit | undefined {
   return share === undefined ? undefined : { share, slack }
--- a/packages/operator/src/commands/documents.ts
+++ b/packages/operator/src/commands/documents.ts
@@ -102,6 +102,8 @@
     ...delta.services.map((item) => `~ service ${item.name}: ${JSON.stringify(item)}`),
     ...delta.removedRoutes.map((name) => `- route ${name}`),
     ...delta.routes.map((item) => `~ route ${item.name}: ${JSON.stringify(item)}`),
+    ...delta.removedCustomers.map((name) => `- customer ${name}`),
+    ...delta.customers.map((item) => `~ customer ${item.name}: ${JSON.stringify(item)}`),
     ...(delta.policies ? [`~ policies: ${JSON.stringify(delta.policies)}`] : [])
   ]
 }
--- a/tests/entryNode.spec.ts
+++ b/tests/entryNode.spec.ts
@@ -23,6 +23,7 @@
     log: pino({ level: 'silent' }),
     logDecisions: false,
     now: () => 0,
+    revokeMs: Infinity,
     decisionObserver: { onDecision: (line) => decisions.push(line) }
   })
   const fail = (): never => {
--- a/utils/mutations.mjs
+++ b/utils/mutations.mjs
@@ -86,6 +86,11 @@
   ['departed-caller', 'requests/requestHandler.js', "this._options.outbox.put({ kind: 'discard', request: id });", '', [],
     'should keep nothing of requests whose callers left'],
   ['late-in-a-stop', 'requests/plannedStop.js', 'return expiresAt <= this.closesAt;', 'return true;', [], 'may not end within the grace time of a stop'],
+  ['quota', 'customers/quotaBuckets.js', 'if (waitMs === 0)', 'if (true)', [], 'quotas should'],
+  ['customer-key', '../../entry/dist/backend/backendClient.js', 'replacedHeaders.add(name)', 'void name', [], 'which never passes on a key'],
+  ['withdrawn-key', '../../entry/dist/caller/resolve.js', 'if (customer)', 'if (isKey)', [], 'with a key that was withdrawn'],
+  ['starved-customer', 'customers/servedFractions.js', 'return fraction.granted / fraction.total <', 'return false && 0 <', [],
+    'should serve no customer less'],
   ['rollout-order', 'rollouts/serviceVersions.js', 'if (startOf(server) <= oldestAt + COMMON_START_MS)', 'if (true)', [],
     'should give nothing to another version before'],
   ['exposure', 'rollouts/versionTrial.js', 'return former;\n        const target', 'return candidates;\n        const target', [
