Bound what a connection may hold before it is parsed

Cause: requests on a closing connection were dropped without an answer while Node went on reading and kept two objects for each; other ports had no such limit at all; each chunk of a body was kept as a buffer of its own.

Change: a connection with callers.maxUnanswered requests without an answer is not read or parsed further, nor is one that closes; requests that Node answered by itself pass the same limit; bodies are collected in blocks.

--- a/packages/entry/src/caller/body.ts
+++ b/packages/entry/src/caller/body.ts
@@ -26,6 +26,9 @@
 }
 
 const EMPTY_BODY = Buffer.alloc(0)
+/** Blocks of a body grow from the first of these sizes to the second, so that a small body does not hold much more than it has. */
+const MIN_BLOCK_BYTES = 1024
+const MAX_BLOCK_BYTES = 65_536
 
 /** Reads a body up to `holdBytes`. Rejects with `BadRequest` if the body is too large or truncated, is late, or has no memory left. */
 export function readBody (message: IncomingMessage, limits: BodyLimits): Promise<Body> {
@@ -43,13 +46,58 @@
   return new BadRequest(413, 'body', `the body is larger than ${mostBytes} bytes`)
 }
 
+/** Collects the chunks of a body in blocks, since each small chunk kept by itself would cost many times its size. */
+class BodyBuffer {
+  private readonly _blocks: Buffer[] = []
+  private readonly _mayHold: ((bytes: number) => boolean) | undefined
+  /** Bytes used of the last block. */
+  private _used = 0
+
+  /** `mayHold` returns whether there is memory for a further block, which it counts. */
+  constructor (mayHold?: (bytes: number) => boolean) {
+    this._mayHold = mayHold
+  }
+
+  /** Copies a chunk. Returns whether there was memory for it. */
+  append (chunk: Buffer): boolean {
+    let copied = 0
+    while (copied < chunk.length) {
+      const last = this._blocks.at(-1)
+      if (last === undefined || this._used === last.length) {
+        const size = Math.max(chunk.length - copied, Math.min(MAX_BLOCK_BYTES, MIN_BLOCK_BYTES << this._blocks.length))
+        if (this._mayHold?.(size) === false) return false
+        this._blocks.push(Buffer.allocUnsafeSlow(size))
+        this._used = 0
+        continue
+      }
+      const count = chunk.copy(last, this._used, copied)
+      copied += count
+      this._used += count
+    }
+    return true
+  }
+
+  /** Returns all chunks as one buffer, and forgets them. */
+  take (): Buffer {
+    const blocks = this._blocks.splice(0)
+    const last = blocks.pop()
+    if (last === undefined) return EMPTY_BODY
+    const used = last.subarray(0, this._used)
+    return blocks.length === 0 ? used : Buffer.concat([...blocks, used])
+  }
+
+  clear (): void {
+    this._blocks.length = 0
+  }
+}
+
 /** Reads one body from its stream. */
 class BodyReader {
   readonly result: Promise<Body>
   private readonly _message: IncomingMessage
   private readonly _limits: BodyLimits
   private readonly _length: number | undefined
-  private readonly _parts: Buffer[] = []
+  private readonly _buffer: BodyBuffer
   private readonly _timeout: InputTimeout | undefined
   private _size = 0
   private _resolve!: (body: Body) => void
@@ -58,6 +106,7 @@
   constructor (message: IncomingMessage, limits: BodyLimits, length: number | undefined) {
     this._message = message
     this._limits = limits
+    this._buffer = new BodyBuffer(limits.take)
     this._length = length
     this.result = new Promise((resolve, reject) => {
       this._resolve = resolve
@@ -70,21 +119,18 @@
   }
 
   private readonly _onData = (part: Buffer): void => {
-    if (this._limits.take?.(part.length) === false) {
-      return this._fail(new BadRequest(503, 'entry', 'this entry has no memory left for the body'))
-    }
-    this._parts.push(part)
+    if (!this._buffer.append(part)) return this._fail(new BadRequest(503, 'entry', 'this entry has no memory left for the body'))
     this._size += part.length
     if (this._size > this._limits.mostBytes) return this._fail(bodyTooLarge(this._limits.mostBytes))
     if (this._size <= this._limits.holdBytes) return
     this._stop()
     this._message.pause()
-    this._resolve({ buffered: Buffer.concat(this._parts), rest: this._message, length: this._length })
+    this._resolve({ buffered: this._buffer.take(), rest: this._message, length: this._length })
   }
 
   private readonly _onEnd = (): void => {
     this._stop()
-    this._resolve({ buffered: Buffer.concat(this._parts), length: this._size })
+    this._resolve({ buffered: this._buffer.take(), length: this._size })
   }
 
   private readonly _onClose = (): void => this._fail(new BadRequest(400, 'body', 'the body was cut off'))
@@ -93,7 +139,7 @@
 
   private _fail (error: BadRequest): void {
     this._stop()
-    this._parts.length = 0
+    this._buffer.clear()
     this._reject(error)
   }
 
--- a/packages/entry/src/runtime/httpListener.ts
+++ b/packages/entry/src/runtime/httpListener.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo, Socket } from 'node:net'
 import { afterPendingInput } from '../pendingInput.js'
 import { ConnectionLimit, type ConnectionLoss } from './connectionLimit.js'
+import { PARSER_PAUSED_CODE, stopReading } from './pipelineLimit.js'
 
 /** Limits on how long a client can keep a connection waiting. */
 export interface ListenerTimeouts {
@@ -18,10 +19,12 @@
   port: number
   /** Most connections that callers may hold; above it, idle ones are closed and new ones refused. Unlimited if absent. */
   maxConnections?: number
+  /** Most requests of one connection that have no answer yet; one more ends the connection after the answers to these. */
+  maxUnanswered?: number
   /** Longest head of a request, in bytes; enough for the entry's own interfaces if absent. */
   maxHeaderBytes?: number
   /** Called for each connection that was closed because of a limit, and when the system refused to accept one. */
-  onConnectionLost?: (loss: ConnectionLoss | 'accept-failed' | 'answer-not-taken') => void
+  onConnectionLost?: (loss: ConnectionLoss | 'accept-failed' | 'answer-not-taken' | 'too-many-unanswered') => void
   /** Called with the error code and the caller's address when a request could not be read in time or parsed, and was rejected. */
   onRejected?: (code: string, caller: string) => void
   /** Called when a request is dropped because it was read after its connection had been rejected or announced to close. */
@@ -44,6 +47,8 @@
   readonly responses: Set<ServerResponse>
 }
 
+/** No caller that keeps its answers flowing sends so many requests ahead. */
+const DEFAULT_MAX_UNANSWERED = 64
 /** Limits memory use. The request handlers enforce lower header limits and answer with a status of their own. */
 const DEFAULT_MAX_HEADER_BYTES = 16_384
 /** A connection is closed if its caller takes no byte of an answer for so long. */
@@ -55,6 +60,9 @@
 const MAX_DISCARDED_BYTES = 67_108_864
 /** How long requests may still be answered once the port is closed. */
 const CLOSE_TIMEOUT_MS = 100
+/** HTTP/1.1 requires the header `Host`. */
+const BAD_REQUEST_STATUS = 400
+const EXPECTATION_FAILED_STATUS = 417
 const HEADER_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT'
 const ERROR_STATUS_LINES: Record<string, string> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -79,18 +87,12 @@
     this._server = createServer({
       maxHeaderSize: options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
       requestTimeout: 0,
+      // Node would answer such a request itself, without a limit on how many there are.
+      requireHostHeader: false,
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS
-    }, (request, response) => {
-      const { socket } = request
-      const connection = this._stateOf(socket)
-      if (connection.closing) return this._options.onDropped?.(callerOf(socket))
-      this._trackResponse(request, response, connection)
-      try {
-        listener(request, response)
-      } catch (error) {
-        this._options.onError?.(error)
-        response.destroy()
-      }
+    }, (request, response) => this._handleRequest(listener, request, response))
+    this._server.on('checkExpectation', (request, response) => {
+      this._handleRequest(() => this._refuse(EXPECTATION_FAILED_STATUS, request, response), request, response)
     })
     this._server.on('connection', (socket) => this._admit(socket))
     this._server.on('error', () => this._handleAcceptError())
@@ -168,6 +170,44 @@
     this._server.closeAllConnections()
   }
 
+  /** Hands a request over, unless its connection is closing or has too many requests without an answer. */
+  private _handleRequest (listener: RequestListener, request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request
+    const connection = this._stateOf(socket)
+    if (connection.closing) {
+      stopReading(socket)
+      return this._options.onDropped?.(callerOf(socket))
+    }
+    if (connection.unanswered >= (this._options.maxUnanswered ?? DEFAULT_MAX_UNANSWERED)) return this._endAfterAnswers(socket, connection)
+    this._trackResponse(request, response, connection)
+    const isValid = request.headers.host !== undefined || request.httpVersion !== '1.1'
+    try {
+      if (isValid) listener(request, response)
+      else this._refuse(BAD_REQUEST_STATUS, request, response)
+    } catch (error) {
+      this._options.onError?.(error)
+      response.destroy()
+    }
+  }
+
+  /** Answers a request that no handler sees, and closes its connection. */
+  private _refuse (status: number, { socket }: IncomingMessage, response: ServerResponse): void {
+    this._stateOf(socket).closing = true
+    response.writeHead(status, { 'content-length': 0, connection: 'close' }).end()
+  }
+
+  /** Closes a connection once the requests that were handed over have been answered. What was sent behind them is not read. */
+  private _endAfterAnswers (socket: Socket, connection: ConnectionState): void {
+    connection.closing = true
+    stopReading(socket)
+    this._options.onConnectionLost?.('too-many-unanswered')
+    for (const response of connection.responses) {
+      response.once('finish', () => {
+        if (connection.unanswered === 0) socket.destroySoon()
+      })
+    }
+  }
+
   private _port (): number {
     return (this._server.address() as AddressInfo).port
   }
@@ -222,6 +262,7 @@
 
   private _handleError (error: NodeJS.ErrnoException, socket: Socket): void {
     const code = error.code ?? 'unknown'
+    if (code === PARSER_PAUSED_CODE) return
     if (code !== HEADER_TIMEOUT_CODE) return this._reject(code, socket)
     const connection = this._stateOf(socket)
     const { requestsRead } = connection
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -32,7 +32,10 @@
   }).prefault({}),
   callers: z.strictObject({
     address: addressSchema.default('127.0.0.1:8080').describe('IP number and port for callers.'),
-    holdBytes: z.int().min(0).default(1_048_576).describe('Bodies up to this size are held, larger ones are streamed, in bytes.')
+    holdBytes: z.int().min(0).default(1_048_576).describe('Bodies up to this size are held, larger ones are streamed, in bytes.'),
+    maxUnanswered: optional(z.int().min(1).default(64)).describe(
+      'Most requests of one connection that have no answer yet. A connection on which more are sent ahead is closed after their answers.'
+    )
   }).prefault({}),
   directory: z.strictObject({
     address: optional(addressSchema.optional()).describe('Where callers ask for addresses; the callers\' address when absent.'),
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -102,6 +102,8 @@
 /** Options that limit the connections of one port. */
 type ConnectionLimits = Required<Pick<ListenerOptions, 'maxConnections' | 'onConnectionLost'>>
 
+type CallerLimits = ConnectionLimits & Pick<ListenerOptions, 'maxUnanswered'>
+
 /** What the reporters read. */
 interface ReportSources {
   node: EntryNode
@@ -136,7 +138,7 @@
     maxRequestsPerConnection: MAX_OPEN_REQUESTS_PER_CONNECTION,
     onRefused: (reason) => losses.record(NOT_HELD, reason)
   })
-  const callerLimits = limits('callers')
+  const callerLimits: CallerLimits = { ...limits('callers'), maxUnanswered: settings.callers.maxUnanswered }
   callerLimits.maxConnections = Math.min(callerLimits.maxConnections, memory.maxConnections)
   const maxHeaderBytes = memory.headerBytesFor(callerLimits.maxConnections)
   const onRejected = (reason: string, caller: string): void => log.info({ decision: 'malformed-request', reason, caller })
