Let requests leave their zone only where that pays, and use connections again

Change: a cost of crossing, schedulers of a zone's cell in that zone, cells by zone from 8 servers a zone on, entries that name their open connections, idle connections for as long as servers state, bytes between zones as a metric. An operator's command checks a document before it is sent.

--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -175,6 +175,7 @@
       outbox,
       random,
       heldServers: (service, now) => holds.heldOf(service, now),
+      connectedServers: (service, now) => this.requests.connectedServers(service, now),
       limitsOf: (service, cell, now) => limits.ofAll(cells.usable(service, cell), now),
       timedOut: (schedulerRequest, now) => this.requests.schedulerTimedOut(schedulerRequest, now)
     })
--- a/packages/core/src/members/peerMessages.ts
+++ b/packages/core/src/members/peerMessages.ts
@@ -111,6 +111,8 @@
   bodyBytes?: number
   /** Limits that servers of the cell have stated, as the sender knows them. */
   limits?: StatedLimit[]
+  /** Servers to which the sender has an open connection that the request may use; absent if there is none. */
+  connected?: string[]
   /** Name of the customer whose request it is, if requests carry keys. */
   customer?: string
 }
--- a/packages/core/src/members/roles.ts
+++ b/packages/core/src/members/roles.ts
@@ -1,5 +1,6 @@
 /** Assigns cluster-wide roles to members. Entries that know the same members assign the same roles. */
 import { hash } from '../hash.js'
+import { zoneOfCell } from '../placement/cells.js'
 import type { Member } from './member.js'
 import type { Roster } from './roster.js'
 
@@ -37,12 +38,16 @@
     this._warmMembers = undefined
   }
 
-  /** Scheduler candidates for a group of servers, the preferred one first. */
-  schedulersOf (group: string): MemberOrder {
-    let order = this._schedulers.get(group)
+  /** Scheduler candidates for a cell, the preferred one first. Those of the cell's zone come first, so that its messages stay there. */
+  schedulersOf (cell: string): MemberOrder {
+    let order = this._schedulers.get(cell)
     if (!order) {
-      order = this._topCandidates(`scheduler ${group}`, this._schedulable())
-      this._schedulers.set(group, order)
+      const role = `scheduler ${cell}`
+      const zone = zoneOfCell(cell)
+      const inZone = zone === undefined ? [] : this._schedulable().filter((member) => member.zone === zone)
+      const elsewhere = zone === undefined ? this._schedulable() : this._schedulable().filter((member) => member.zone !== zone)
+      order = [...this._topCandidates(role, inZone), ...this._topCandidates(role, elsewhere)].slice(0, MAX_CANDIDATES)
+      this._schedulers.set(cell, order)
     }
     return order
   }
--- a/packages/core/src/placement/candidateSelector.ts
+++ b/packages/core/src/placement/candidateSelector.ts
@@ -1,5 +1,6 @@
 /** Selects the server of a cell for a request, or decides that waiting for a busy server is better. */
 import { evaluateCandidate, expectedPace, type Candidate, type CandidateContext } from './candidates.js'
+import type { CrossingCost } from './crossingCost.js'
 import type { LimitedRates } from './limitedRates.js'
 import type { PlacementRequest } from './placementRequest.js'
 import { DEADLINE_MARGIN_MS, type QueuePolicy } from './queuePolicy.js'
@@ -15,7 +16,8 @@
   rates: LimitedRates
   /** Whether a server is reserved for the trial of a new version. */
   isReserved: (record: ServerRecord) => boolean
-  context: () => Omit<CandidateContext, 'work' | 'medianBlame' | 'rates'>
+  crossing: CrossingCost
+  context: () => Omit<CandidateContext, 'work' | 'medianBlame' | 'rates' | 'crossing'>
 }
 
 /** A request waits for a busy server only if a free server would cost more by this factor. */
@@ -31,8 +33,8 @@
 
   /** The context for all candidates of one placement round. */
   context (now: number): CandidateContext {
-    const { work, rates } = this._options
-    return { ...this._options.context(), work, rates, medianBlame: this._medianBlame(now) }
+    const { work, rates, crossing } = this._options
+    return { ...this._options.context(), work, rates, crossing, medianBlame: this._medianBlame(now) }
   }
 
   /** Servers that can take the request now, the one with the lowest cost first. */
@@ -57,7 +59,7 @@
   isWorthWaiting (waiting: WaitingRequest, best: Candidate, waitingAhead: number, now: number): boolean {
     const { work, rates, isReserved } = this._options
     const baseMs = work.baseMs(waiting.request.route, waiting.request.targetMs)
-    const costMs = best.costMs - best.transferMs
+    const costMs = best.costMs - best.preferenceMs
     if (waiting.late || costMs <= baseMs * MIN_WAIT_GAIN_FACTOR) return false
     const responseTimes: number[] = []
     for (const record of this._options.records.values()) {
--- a/packages/core/src/placement/candidates.ts
+++ b/packages/core/src/placement/candidates.ts
@@ -1,5 +1,6 @@
 /** Decides which servers a request may be sent to, and estimates the cost of each choice. */
 import type { ColdTolerance } from '../budgets/coldStartLimiter.js'
+import type { CrossingCost } from './crossingCost.js'
 import type { LimitedRates } from './limitedRates.js'
 import type { PlacementRequest } from './placementRequest.js'
 import type { ServerRecord } from './serverRecord.js'
@@ -10,10 +11,10 @@
   record: ServerRecord
   /** Expected response time, in milliseconds. */
   responseMs: number
-  /** `responseMs` plus the delay for other requests on the server, the expected cost of a failure and `transferMs`, in milliseconds. */
+  /** `responseMs` plus the delay for other requests on the server, the expected cost of a failure and `preferenceMs`, in milliseconds. */
   costMs: number
-  /** Cost of sending the body to another zone, as the time that a caller would wait instead, in milliseconds. */
-  transferMs: number
+  /** What the choice costs beside time: bytes between zones, and a new connection; as time that a caller would wait instead. */
+  preferenceMs: number
   /** Whether its load reading is recent enough to rely on. */
   fresh: boolean
   /** Whether it has received so many requests since it last answered a probe that it may be cold without notice. */
@@ -38,20 +39,16 @@
   medianBlame: number
   /** Limits that servers have stated. */
   rates: LimitedRates
+  crossing: CrossingCost
 }
 
 /** A load reading of this age no longer predicts the pace of the machine. */
 const PACE_READING_LIFETIME_MS = 300
-/** Cost of sending to another zone: the network round trip. */
-const CROSS_ZONE_ROUND_TRIP_MS = 4
 /**
- * Cost of sending a body to another zone, which operators pay by the byte. An upload stays in its zone unless a server of another zone
- * is expected to answer so much sooner.
+ * Among servers that are about as good, one to which the entry has an open connection is preferred: servers spend time on a new one, and
+ * callers do not notice this fraction of their target latency.
  */
-const CROSS_ZONE_COST_MS_PER_KILOBYTE = 1
-const BYTES_PER_KILOBYTE = 1000
-/** Most of its target latency that a request may lose for staying in its zone. */
-const MAX_TRANSFER_TARGET_FRACTION = 0.25
+const NEW_CONNECTION_TARGET_FRACTION = 0.03
 const COLD_SLOWDOWN_FACTOR = 2
 /** A failed attempt costs about this many times the work of the request. */
 const FAILURE_COST_FACTOR = 3
@@ -89,17 +86,20 @@
   const slowdownOfOthersMs = full ? (work.fullSlowdownRatio - 1) * baseMs * occupancy / 2 : 0
   const riskMs = baseMs * riskFactor(record, blame, now)
   const isSameZone = record.entry.zone === request.zone
-  const networkMs = isSameZone ? 0 : CROSS_ZONE_ROUND_TRIP_MS
-  const transferMs = isSameZone ? 0 : transferCostMs(request)
+  const networkMs = isSameZone ? 0 : context.crossing.roundTripMs
+  const preferenceMs = (isSameZone ? 0 : context.crossing.transferMs(request)) + connectionCostMs(record, request, context)
   const unverified = record.sentSinceProbe(now) > maxSentSinceProbe(context)
   const fresh = record.readingAgeMs(now) <= context.freshMs && !unverified
   const responseMs = serverMs + networkMs
-  const costMs = responseMs + slowdownOfOthersMs + riskMs + transferMs
-  return { record, responseMs, costMs, transferMs, fresh, unverified, full, pace }
+  const costMs = responseMs + slowdownOfOthersMs + riskMs + preferenceMs
+  return { record, responseMs, costMs, preferenceMs, fresh, unverified, full, pace }
 }
 
-function transferCostMs ({ bodyBytes, targetMs }: PlacementRequest): number {
-  return Math.min(bodyBytes / BYTES_PER_KILOBYTE * CROSS_ZONE_COST_MS_PER_KILOBYTE, targetMs * MAX_TRANSFER_TARGET_FRACTION)
+/** Cost of a new connection. A server that states a limit is not preferred, since its limit is for all entries. */
+function connectionCostMs ({ entry }: ServerRecord, { connected, targetMs }: PlacementRequest, { rates }: CandidateContext): number {
+  if (connected === undefined) return 0
+  const isPreferred = connected.includes(entry.id) && rates.perMs(entry) === undefined
+  return isPreferred ? 0 : targetMs * NEW_CONNECTION_TARGET_FRACTION
 }
 
 /**
--- a/packages/core/src/placement/cells.ts
+++ b/packages/core/src/placement/cells.ts
@@ -29,8 +29,11 @@
 const TARGET_SERVERS_PER_CELL = 24
 /** A service with up to this many servers has a single cell. */
 const MAX_UNDIVIDED_SERVERS = 32
-/** Cells are formed within zones if the zones have at least this many servers on average. */
-const MIN_MEAN_SERVERS_PER_ZONE = 16
+/**
+ * Cells are formed within zones if the zones have at least this many servers on average. Among so many, there is nearly always one without
+ * a slow spell, and requests, load readings and reports stay in their zone.
+ */
+const MIN_MEAN_SERVERS_PER_ZONE = 8
 
 /**
  * The cells of each service. Every entry with the same registrations computes the same cells. Servers in disabled zones are included,
@@ -93,6 +96,12 @@
   }
 }
 
+/** The zone in a cell's name; undefined for a cell over several zones. */
+export function zoneOfCell (name: string): string | undefined {
+  const parts = name.split('/')
+  return parts.length > 2 ? parts.at(-2) : undefined
+}
+
 function divideIntoCells (service: string, servers: RegisteredServer[]): Cell[] {
   if (servers.length <= MAX_UNDIVIDED_SERVERS) return [{ name: service, service, servers, usable: [] }]
   const byZone = new Map<string, RegisteredServer[]>()
--- a/packages/core/src/placement/placementRequest.ts
+++ b/packages/core/src/placement/placementRequest.ts
@@ -41,6 +41,8 @@
   targetMs: number
   /** Ids of servers that it must not be sent to. */
   avoid: string[]
+  /** Servers to which the entry has an open connection that the request may use. */
+  connected?: readonly string[]
   /** The customer whose request it is. */
   customer?: string
   /** Availability zone of the entry that will send it. */
@@ -107,6 +109,8 @@
   load?: LoadReport
   /** Requests a second that the server takes from all entries together, if its answer stated that. */
   limitPerSecond?: number
+  /** Size of the answer's body, if it was complete and buffered. */
+  answerBytes?: number
 }
 
 /** The report for a grant that was not used. */
@@ -114,7 +118,8 @@
 
 /** Converts a message's remaining times to times of this process's clock. */
 export function requestOf (id: string, from: Member, message: PlaceMessage, now: number): PlacementRequest {
-  const { label, service, cell, route, purpose, priority, targetMs, targetLeftMs, leftMs, waitMs, avoid, bodyBytes = 0, customer } = message
+  const { label, service, cell, route, purpose, priority, targetMs, targetLeftMs, leftMs, waitMs, avoid } = message
+  const { bodyBytes = 0, customer, connected } = message
   return {
     id,
     label,
@@ -126,6 +131,7 @@
     targetMs,
     waitMs,
     avoid,
+    connected,
     customer,
     zone: from.zone,
     bodyBytes,
--- a/packages/core/src/placement/scheduler.ts
+++ b/packages/core/src/placement/scheduler.ts
@@ -10,6 +10,7 @@
 import { CandidateSelector } from './candidateSelector.js'
 import type { Candidate } from './candidates.js'
 import type { AttemptReport, Grant, GrantBasis, PlacementRequest, Purpose, Refusal, RefusalReason } from './placementRequest.js'
+import { CrossingCost } from './crossingCost.js'
 import { LimitedRates } from './limitedRates.js'
 import { ReadingRequests } from './readingRequests.js'
 import { ServerRecord, type OutstandingRequest, type ProbeAnswer } from './serverRecord.js'
@@ -42,6 +43,8 @@
   loadReadingPolicy?: () => LoadReadingPolicy
   /** The trial of a new version of the service, while one runs. */
   trial?: () => VersionTrial | undefined
+  /** Availability zone of this entry, from which round trips between zones are observed. */
+  zone?: string
 }
 
 /** Callers of refused requests may retry for this long after the last refusal. */
@@ -66,6 +69,7 @@
   private readonly _arrivals = new SlidingCount(ARRIVAL_WINDOW_MS)
   private readonly _requestAges = new RequestAgeEstimate()
   private readonly _served = new ServedFractions()
+  private readonly _crossing: CrossingCost
   private _refusedAt = -Infinity
   private readonly _capacity: Capacity
   private readonly _policy: QueuePolicy
@@ -76,6 +80,7 @@
   constructor (options: SchedulerOptions) {
     this._options = options
     this._retryBudget = new RetryBudget(options.retry)
+    this._crossing = new CrossingCost(options.zone)
     this._rates = options.limitedRates ?? UNLIMITED
     const { cold, share, listener, mayProbe = () => true } = options
     const { work, _records: records, _queue: queue, _arrivals: arrivals, _rates: rates } = this
@@ -86,7 +91,7 @@
       const { freshMs, readings } = this._loadReadingPolicy
       return { cold: cold(), share: share(), freshMs, asks: readings !== 0 }
     }
-    this._selector = new CandidateSelector({ records, work, policy: this._policy, rates, isReserved, context })
+    this._selector = new CandidateSelector({ records, work, policy: this._policy, rates, isReserved, crossing: this._crossing, context })
     this._readings = new ReadingRequests({
       rates, mayProbe, policy: () => this._loadReadingPolicy, probe: (server) => listener.probe(server)
     })
@@ -165,6 +170,7 @@
     if (!record) return
     const outstanding = record.recordEnded(id, report, now)
     if (report.load) this.work.recordPace(report.load.pace)
+    if (report.answerBytes !== undefined) this._crossing.answered(route, report.answerBytes)
     if (outstanding && report.outcome === 'unused') {
       this._rates.refund(server)
       if (outstanding.isFurtherAttempt) this._retryBudget.refund(now)
@@ -192,6 +198,7 @@
     const sentAt = record.probedAt ?? now
     if (answer) {
       record.answered(answer, (sentAt + now) / 2)
+      if (now > sentAt) this._crossing.probed(record.entry.zone, now - sentAt)
       if (answer.load) this.work.recordPace(answer.load.pace)
     } else {
       record.probeFailed(now)
--- a/packages/core/src/placement/schedulerHost.ts
+++ b/packages/core/src/placement/schedulerHost.ts
@@ -208,6 +208,7 @@
         limitOf: (server) => limits.of(server), share: () => this._shares.ofLimits(cell, this._now), random
       }),
       mayProbe: (server, now) => !this._options.holds.isHeld(server, now),
+      zone: this._options.roster.self.zone,
       trial: () => this._options.rollouts.trialOf(service),
       loadReadingPolicy: () => this._options.roster.isLarge ? REDUCED_READINGS : FREQUENT_READINGS,
       listener: {
--- a/packages/core/src/requests/request.ts
+++ b/packages/core/src/requests/request.ts
@@ -112,3 +112,13 @@
     callerLeft: false
   }
 }
+
+/** Whether an attempt of one of the requests is running on a server of the service with one of these software versions. */
+export function isRunningOn (requests: Iterable<OpenRequest>, service: string, versions: readonly string[]): boolean {
+  for (const { attempts } of requests) {
+    for (const { server } of attempts.values()) {
+      if (server.service === service && versions.includes(server.softwareVersion ?? '')) return true
+    }
+  }
+  return false
+}
--- a/packages/core/src/requests/requestHandler.ts
+++ b/packages/core/src/requests/requestHandler.ts
@@ -16,8 +16,9 @@
 import type { ServerHolds } from '../placement/serverHolds.js'
 import type { ServerLimits } from '../placement/serverLimits.js'
 import type { CellSelector } from './cellSelector.js'
+import { OpenConnections } from './openConnections.js'
 import type { PlannedStop } from './plannedStop.js'
-import { newRequest, type SchedulerRequest, type Attempt, type OpenRequest, type RequestSpec } from './request.js'
+import { isRunningOn, newRequest, type SchedulerRequest, type Attempt, type OpenRequest, type RequestSpec } from './request.js'
 import { RequestLog } from './requestLog.js'
 import type { SchedulerClient } from './schedulerClient.js'
 
@@ -59,6 +60,7 @@
 export class RequestHandler implements LocalRequestListener, QuotaListener {
   private readonly _options: RequestHandlerOptions
   private readonly _log: RequestLog
+  private readonly _connections = new OpenConnections()
   private readonly _requests = new Map<number, OpenRequest>()
   private readonly _bySchedulerRequest = new Map<number, OpenRequest>()
   private readonly _byAttempt = new Map<number, OpenRequest>()
@@ -77,6 +79,11 @@
     return this._requests.size
   }
 
+  /** Ids of servers of a service to which this entry has an idle connection, the one used last first. */
+  connectedServers (service: string, now: number): string[] {
+    return this._connections.of(service, now)
+  }
+
   /** Number of requests that a server may have run and that the end of a stop left without an answer. */
   get brokenOff (): number {
     return this._brokenOff
@@ -89,12 +96,7 @@
 
   /** Whether an attempt is running on a server of the service with one of these software versions. */
   isRunningOn (service: string, versions: readonly string[]): boolean {
-    for (const { attempts } of this._requests.values()) {
-      for (const { server } of attempts.values()) {
-        if (server.service === service && versions.includes(server.softwareVersion ?? '')) return true
-      }
-    }
-    return false
+    return isRunningOn(this._requests.values(), service, versions)
   }
 
   /** Time at which the next request expires or the next hedge is due. */
@@ -206,6 +208,7 @@
     if (!request || !attempt) return
     if (MAY_HAVE_RUN.has(report.outcome)) request.mayHaveRun = true
     this._removeAttempt(request, id)
+    if (request.spec.route.repeatable) this._connections.ended(attempt.server, report.outcome, now)
     this._options.limits.attemptEnded(attempt.server, report, now)
     this._report(request, attempt.ask, attempt.server.id, report, now)
     if (report.outcome !== 'answered') this._log.attemptEnded(request, attempt, report, status)
@@ -327,6 +330,7 @@
     request.avoid.push(server.id)
     const leftMs = request.expiresAt - now
     this._log.dispatched(request, attempt, basis, now)
+    if (spec.route.repeatable) this._connections.dispatched(server)
     const further = schedulerRequest.purpose === 'retry' || schedulerRequest.purpose === 'hedge'
     outbox.put({
       kind: 'dispatch',
--- a/packages/core/src/requests/schedulerClient.ts
+++ b/packages/core/src/requests/schedulerClient.ts
@@ -19,6 +19,8 @@
   random: Random
   /** Ids of the servers of a service that the scheduler must not grant to this entry now. */
   heldServers: (service: string, now: number) => string[]
+  /** Ids of servers of a service to which this entry has an idle connection. */
+  connectedServers: (service: string, now: number) => string[]
   /** The limits that the servers of a cell have stated. */
   limitsOf: (service: string, cell: string, now: number) => StatedLimit[]
   /** Called when the scheduler did not answer in time, or no longer knows the request. */
@@ -179,6 +181,8 @@
   private _placeMessage (request: OpenRequest, schedulerRequest: SchedulerRequest, now: number): PlaceMessage {
     const { spec, targetAt, expiresAt, avoid } = request
     const limits = this._options.limitsOf(spec.service, schedulerRequest.cell, now)
+    // A request that must not run twice gets a new connection.
+    const connected = spec.route.repeatable ? this._options.connectedServers(spec.service, now) : []
     return {
       kind: 'place',
       ask: schedulerRequest.id,
@@ -195,7 +199,8 @@
       avoid: [...avoid, ...this._options.heldServers(spec.service, now)],
       bodyBytes: spec.bodyBytes,
       limits: limits.length > 0 ? limits : undefined,
-      customer: spec.customer?.name
+      customer: spec.customer?.name,
+      connected: connected.length > 0 ? connected : undefined
     }
   }
 }
--- a/packages/entry/src/backend/backendClient.ts
+++ b/packages/entry/src/backend/backendClient.ts
@@ -20,6 +20,8 @@
   now: () => number
   /** Called when an answer was discarded because its head is not valid HTTP. */
   onMalformed: (request: string, server: string, reason: string) => void
+  /** Called with the bytes that an attempt has sent and received. */
+  onExchanged?: (server: RegisteredServer, bytes: number) => void
 }
 
 /** Receives the events of one attempt. */
@@ -34,8 +36,8 @@
   ended (report: AttemptReport, status?: number): void
 }
 
-/** Shorter than the idle timeout of backend servers, so that a server rarely closes a connection just as a request is sent on it. */
-const IDLE_TIMEOUT_MS = 4000
+/** Longest time that a connection stays idle; less if its server states a time. An entry sends one server a request every few seconds. */
+const IDLE_TIMEOUT_MS = 8000
 /** Idle connections per server. The connections of all entries together must stay below the server's connection limit. */
 const MAX_IDLE_CONNECTIONS = 2
 /** Most bytes read of an answer that is discarded: reading more costs more than opening a new connection. */
@@ -69,7 +71,8 @@
       ended = true
       this._calls.delete(effect.attempt)
       if (whole) listener.whole(whole)
-      listener.ended({ outcome, tookMs: this._options.now() - startedAt, load, limitPerSecond }, status)
+      const answerBytes = whole?.buffered.length
+      listener.ended({ outcome, tookMs: this._options.now() - startedAt, load, limitPerSecond, answerBytes }, status)
     }
     const call = request({
       host: effect.server.host,
@@ -82,6 +85,7 @@
     })
     this._calls.set(effect.attempt, call)
     const connection = trackConnection(call, this._options.connectMs)
+    countBytes(call, (bytes) => this._options.onExchanged?.(effect.server, bytes))
     call.on('response', (message) => {
       answer = message
       // The rest of the body has no reader any more. On this connection, the server would take other bytes for it.
@@ -254,6 +258,14 @@
   return { established: () => made }
 }
 
+/** Counts what a call sends and receives on its connection, which earlier calls may have used. */
+function countBytes (call: ClientRequest, done: (bytes: number) => void): void {
+  call.once('socket', (socket) => {
+    const before = socket.bytesRead + socket.bytesWritten
+    call.once('close', () => done(socket.bytesRead + socket.bytesWritten - before))
+  })
+}
+
 /** Returns why the head of an answer is not valid HTTP, or undefined if it is. */
 function headFault ({ statusCode = 0, rawHeaders }: IncomingMessage): string | undefined {
   return statusCode < MIN_STATUS ? 'status' : headerFault(rawHeaders)
--- a/packages/entry/src/peers/datagramCodec.ts
+++ b/packages/entry/src/peers/datagramCodec.ts
@@ -31,7 +31,7 @@
     ['ask', 'number'], ['label', 'string'], ['service', 'string'], ['cell', 'string'], ['route', 'string'], ['purpose', 'purpose'],
     ['priority', 'number'],
     ['targetMs', 'number'], ['targetLeftMs', 'number'], ['leftMs', 'number'], ['waitMs', 'number'], ['avoid', 'strings'],
-    ['bodyBytes', 'number?'], ['limits', 'limits?'], ['customer', 'string?']
+    ['bodyBytes', 'number?'], ['limits', 'limits?'], ['customer', 'string?'], ['connected', 'strings?']
   ],
   granted: [['ask', 'number'], ['server', 'server'], ['expectedMs', 'number'], ['basis', 'basis?']],
   queued: [['asks', 'numbers']],
@@ -175,5 +175,6 @@
 function decodeServer (item: unknown): RegisteredServer | undefined {
   if (!Array.isArray(item)) return undefined
   const [id, incarnation, service, host, port, zone, slots, state, coldMs, version, softwareVersion] = item as unknown[]
-  return parseRegisteredServer({ id, incarnation, service, host, port, zone, slots, state, coldMs, version, softwareVersion })
+  const fields = { id, incarnation, service, host, port, zone, slots, state, coldMs, version }
+  return parseRegisteredServer(softwareVersion === undefined ? fields : { ...fields, softwareVersion })
 }
--- a/packages/entry/src/peers/datagramPort.ts
+++ b/packages/entry/src/peers/datagramPort.ts
@@ -10,6 +10,8 @@
   token: string | undefined
   self: () => Pick<Member, 'instance' | 'incarnation'>
   received: (envelope: Envelope) => void
+  /** Called with the messages that were sent to an entry together, and their size. */
+  onSent?: (to: Member, messages: readonly PeerMessage[], bytes: number) => void
 }
 
 /** Messages to one entry that are sent together, at the latest when the current event has been handled. */
@@ -71,7 +73,10 @@
     // A batch that cannot be sent is dropped like a lost datagram, and must not be tried again after each event.
     const batches = [...this._batches.values()]
     this._batches.clear()
-    for (const { to, messages } of batches) this._write(to.host, to.peerPort, messages)
+    for (const { to, messages } of batches) {
+      const bytes = this._write(to.host, to.peerPort, messages)
+      this._options.onSent?.(to, messages, bytes)
+    }
   }
 
   async close (): Promise<void> {
@@ -79,12 +84,16 @@
     this._socket = undefined
   }
 
-  private _write (host: string, port: number, messages: PeerMessage[]): void {
+  /** Returns the number of bytes sent. */
+  private _write (host: string, port: number, messages: PeerMessage[]): number {
+    let bytes = 0
     this.messages += messages.length
     for (const data of encodeDatagrams(this._options.self(), messages, this._options.token)) {
-      this.bytes += data.length
+      bytes += data.length
       this._socket?.send(data, port, host, () => {})
     }
+    this.bytes += bytes
+    return bytes
   }
 
   private _receive (data: Buffer): void {
--- a/packages/entry/src/peers/fieldSchemas.ts
+++ b/packages/entry/src/peers/fieldSchemas.ts
@@ -24,7 +24,11 @@
   basis: z.object({ ageMs: z.number(), running: z.number(), waiting: z.number(), pace: z.number() }),
   refusal: z.enum(['no-server', 'overload', 'deadline', 'budget']),
   report: z.object({
-    outcome: outcomeSchema, tookMs: z.number(), load: loadSchema.optional(), limitPerSecond: z.number().min(0).optional()
+    outcome: outcomeSchema,
+    tookMs: z.number(),
+    load: loadSchema.optional(),
+    limitPerSecond: z.number().min(0).optional(),
+    answerBytes: z.number().min(0).optional()
   }),
   limits: z.array(z.object({
     server: z.string(), incarnation: z.string(), perSecond: z.number().min(0), ageMs: z.number().min(0)
--- a/packages/entry/src/reports/prometheusMetrics.ts
+++ b/packages/entry/src/reports/prometheusMetrics.ts
@@ -19,6 +19,7 @@
   connectionsClosed: () => number
   portStates: () => PortState[]
   rollouts: () => RolloutProgress[]
+  zoneBytes: () => Iterable<[string, number]>
   heldBytes: () => number
   notHeld: () => number
 }
@@ -65,6 +66,7 @@
     this._addGauge('connections_closed', 'Connections closed or refused since start to save descriptors.', source.connectionsClosed)
     this._addPorts(source.portStates)
     this._addRollouts(source.rollouts)
+    this._addZoneTraffic(source.zoneBytes)
     this._addGauge('held_bytes', 'Bytes of bodies and answers held for callers.', source.heldBytes)
     this._addGauge('not_held', 'Requests and answers not held since start, for want of memory or since too many are open.', source.notHeld)
     this._addGauge('resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
@@ -95,6 +97,18 @@
     })
   }
 
+  private _addZoneTraffic (read: () => Iterable<[string, number]>): void {
+    const gauge: Gauge = new Gauge({
+      name: 'gooseberryspan_zone_bytes',
+      help: 'Bytes exchanged with other availability zones since start.',
+      labelNames: ['purpose'],
+      registers: [this.registry],
+      collect: () => {
+        for (const [purpose, bytes] of read()) gauge.set({ purpose }, bytes)
+      }
+    })
+  }
+
   private _addRollouts (read: () => RolloutProgress[]): void {
     const gauge: Gauge = new Gauge({
       name: 'gooseberryspan_rollout_requests',
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { Logger } from 'pino'
 import {
-  EntryCore, SeededRandom, type DecisionLine, type EntryOptions, type ExposureLimit, type Invariant, type RowReader, type Tolerances
+  EntryCore, SeededRandom, type DecisionLine, type EntryOptions, type Invariant, type RowReader
 } from '@gooseberryspan/core'
 import { ENDLESS_RESTART_POLICY, RESTART_POLICY, Supervisor, type Child, type SupervisorListener } from '@gooseberryspan/csp'
 import {
@@ -16,6 +16,7 @@
 import type { Dialect } from './dialect.js'
 import { DirectoryListener } from './directory/directoryListener.js'
 import { operatorListener } from './operators/operatorListener.js'
+import { exposureOf, revokeMsOf, tolerancesOf } from './coreSettings.js'
 import { DefaultDialect } from './defaultDialect.js'
 import { LOG_END_MS } from './reports/logSink.js'
 import { LossReport } from './reports/lossReport.js'
@@ -31,6 +32,7 @@
 import { PortGate } from './runtime/portGate.js'
 import { Ports, type PortState } from './runtime/ports.js'
 import { Ticker } from './runtime/processes.js'
+import { ZoneTraffic } from './runtime/zoneTraffic.js'
 import { UnexpectedErrors } from './runtime/unexpectedErrors.js'
 import { parseHostPort, type Settings } from './settings.js'
 import { StoreExecutor } from './store/storeExecutor.js'
@@ -91,8 +93,6 @@
 /** Slightly longer than the two seconds within which lapsed registrations are renewed after the store is reachable again. */
 const REGISTRATION_LAPSE_MS = 2300
 
-const REVOKE_MARGIN_MS = 500
-
 const CONNECTION_LOST = 'connection-closed'
 const NOT_HELD = 'not-held'
 /** Bounds the processor time for the requests that wait for a server. */
@@ -114,6 +114,7 @@
   budget: HoldBudget
   limits: ConnectionLimits
   portStates: () => PortState[]
+  zoneTraffic: ZoneTraffic
 }
 
 /**
@@ -186,8 +187,14 @@
   components.callers = new CallerListener({ node, holdBytes: settings.callers.holdBytes, budget, closeAfter })
   components.directory = new DirectoryListener({ node, keepSeconds: settings.directory.keepSeconds })
 
+  const zoneTraffic = new ZoneTraffic(settings.zone)
   const datagrams = new DatagramPort({
-    host: peerAddress.host, port: ports.peers, token, self: () => built.core.roster.self, received: (envelope) => gate.received(envelope)
+    host: peerAddress.host,
+    port: ports.peers,
+    token,
+    self: () => built.core.roster.self,
+    received: (envelope) => gate.received(envelope),
+    onSent: (to, messages, bytes) => zoneTraffic.sent(to.zone, messages, bytes)
   })
   const datagramPort = openPorts.add('peers-udp', { host: peerAddress.host, port: ports.peers }, datagrams, SERVING_RETRY, opened)
   const gate = new PortGate({ node, callers: callerPort, peers: [peerPort, datagramPort] })
@@ -197,6 +204,7 @@
     connectMs: settings.backends.connectMs,
     holdBytes: MAX_BUFFERED_ANSWER_BYTES,
     now,
+    onExchanged: (server, bytes) => zoneTraffic.exchanged(server.zone, bytes),
     onMalformed: (request, server, reason) => log.info({ decision: 'answer-malformed', request, server, reason })
   })
   const probes = new ProbeClient({
@@ -257,7 +265,7 @@
     })
   }
   const portStates = (): PortState[] => openPorts.states()
-  const sources = { node, client, datagrams, callerServer, losses, budget, limits: limits('metrics'), portStates }
+  const sources = { node, client, datagrams, callerServer, losses, budget, limits: limits('metrics'), portStates, zoneTraffic }
   const reports = await createReporters(options, sources)
   decisionObservers.push(...reports.decisionObservers)
   if (reports.port) {
@@ -361,7 +369,7 @@
     identity: { instance: settings.instance, incarnation: Date.now(), zone: settings.zone, host, cores: coreShare * speed, ...ports },
     seeds: settings.peers.seeds.map(parseHostPort),
     isFirstStart: settings.peers.firstStart,
-    tolerances: readTolerances(settings),
+    tolerances: tolerancesOf(settings),
     lapseMs: REGISTRATION_LAPSE_MS,
     lingerMs: settings.stop.lingerSeconds * 1000,
     stopLimitMs: Math.max(0, settings.stop.graceSeconds * 1000 - STOP_MARGIN_MS)
@@ -372,23 +380,6 @@
   return { core, head }
 }
 
-function readTolerances ({ tolerances }: Settings): Tolerances {
-  return {
-    retry: { ratio: tolerances.retryRatio, slack: tolerances.retrySlack, windowMs: tolerances.retryWindowSeconds * 1000 },
-    cold: { overage: tolerances.coldOverage, slack: tolerances.coldSlack }
-  }
-}
-
-/** An entry stops a little earlier, since requests that it has accepted still have to reach a server. */
-function revokeMsOf ({ customers: { strictRevoke, revokeMs } }: Settings): number {
-  return strictRevoke ? Math.max(0, revokeMs - REVOKE_MARGIN_MS) : Infinity
-}
-
-/** A deployment without a limit of exposure orders no roll-outs. */
-function exposureOf ({ rollouts: { exposureShare: share, exposureSlack: slack } }: Settings): ExposureLimit | undefined {
-  return share === undefined ? undefined : { share, slack }
-}
-
 function invariantReporter (options: EntryProcessOptions): EntryOptions['watcher'] {
   return {
     broken: (invariant, detail) => {
@@ -424,7 +415,7 @@
 
 /** Creates the reporters that the settings enable. Loads a reporter's library only if it is enabled. */
 async function createReporters (options: EntryProcessOptions, sources: ReportSources) {
-  const { node, client, datagrams, callerServer, losses, budget, limits, portStates } = sources
+  const { node, client, datagrams, callerServer, losses, budget, limits, portStates, zoneTraffic } = sources
   const { metrics, instance } = options.settings
   const decisionObservers: DecisionObserver[] = []
   const children: Child[] = []
@@ -448,6 +439,7 @@
       heldBytes: () => budget.bytes,
       notHeld: () => losses.totalOf(NOT_HELD),
       portStates,
+      zoneBytes: () => zoneTraffic.bytes,
       rollouts: () => node.core.rollouts.progress()
     })
     decisionObservers.push(prometheusMetrics)
--- a/packages/operator/src/commands/documents.ts
+++ b/packages/operator/src/commands/documents.ts
@@ -2,7 +2,7 @@
 import { randomBytes } from 'node:crypto'
 import { readFileSync } from 'node:fs'
 import {
-  deltaBetween, parseDocument, ConfigurationError, validateDocument, type Delta, type Document, type ConfigurationFault
+  deltaBetween, parseDocument, reviewDocument, ConfigurationError, validateDocument, type Delta, type Document, type ConfigurationFault
 } from '@gooseberryspan/core'
 import type { ChangeResult, CurrentConfiguration, OperatorClient } from '../client/operatorClient.js'
 import { EXIT, CommandError } from '../errors.js'
@@ -23,6 +23,32 @@
   return EXIT.done
 }
 
+/** Options of the check command. */
+export interface CheckOptions {
+  /** Whether findings count as errors. */
+  strict: boolean
+}
+
+/**
+ * Checks a file before it is sent: errors, what is declared in vain or in contradiction, and, with a client, what differs from the
+ * revision in force. Returns exit code 1 for errors, and for findings if they are strict.
+ */
+export async function check (client: OperatorClient | undefined, path: string, { strict }: CheckOptions, output: Output): Promise<number> {
+  const wanted = readDocument(path)
+  const findings = reviewDocument(wanted)
+  const inForce = await client?.configuration()
+  const delta = inForce && deltaBetween(currentDocument(inForce, wanted), wanted)
+  const deltaText = delta ? deltaLines(delta) : []
+  const summary = inForce && `${deltaText.length > 0 ? 'differs' : 'does not differ'} from revision ${inForce.revision}`
+  output.show({ findings, revision: inForce?.revision, delta }, [
+    findings.length === 0 ? 'nothing is declared in vain or in contradiction' : 'findings:',
+    ...faultLines(findings),
+    ...(summary === undefined ? [] : [summary]),
+    ...deltaText
+  ])
+  return strict && findings.length > 0 ? EXIT.refused : EXIT.done
+}
+
 /** Shows what applying a file would change; returns exit code 1 when there is a difference. */
 export async function diff (client: OperatorClient, path: string, output: Output): Promise<number> {
   const wanted = readDocument(path)
--- a/packages/operator/src/program.ts
+++ b/packages/operator/src/program.ts
@@ -2,7 +2,7 @@
 import { readFileSync } from 'node:fs'
 import { Command, InvalidArgumentError, Option } from 'commander'
 import { OperatorClient } from './client/operatorClient.js'
-import { apply, diff, validate, zone, type ApplyOptions } from './commands/documents.js'
+import { apply, check, diff, validate, zone, type ApplyOptions, type CheckOptions } from './commands/documents.js'
 import { explain, logSource } from './commands/explain.js'
 import { StandardOutput, type Output } from './commands/output.js'
 import { listRollouts, orderRollout, withdrawRollout, type RolloutOptions } from './commands/rollouts.js'
@@ -46,6 +46,14 @@
   const output = (): Output => new StandardOutput(connection().json)
   program.command('validate <file>').description('check a document locally, without a server')
     .action((file: string) => setExitCode(validate(file, output())))
+  program.command('check <file>')
+    .description('check a document before it is sent: errors, entries that never match, contradictions, differences to the one in force')
+    .option('--offline', 'do not compare it with the configuration in force', false)
+    .option('--strict', 'end with code 1 if anything is found', false)
+    .action(async (file: string, options: CheckOptions & { offline: boolean }) => {
+      const client = options.offline ? undefined : createClient(connection())
+      setExitCode(await check(client, file, options, output()))
+    })
   program.command('diff <file>').description('show what applying a document would change')
     .action(async (file: string) => setExitCode(await diff(createClient(connection()), file, output())))
   program.command('apply <file>').description('replace the whole configuration by a document')
--- a/tests/customers.spec.ts
+++ b/tests/customers.spec.ts
@@ -189,6 +189,7 @@
     waitMs: 1000,
     targetMs: 500,
     avoid: [],
+    connected: [],
     zone: 'a',
     bodyBytes: 0,
     ...changes
--- a/tests/operator.spec.ts
+++ b/tests/operator.spec.ts
@@ -67,6 +67,25 @@
     expect(JSON.parse(printed)).to.include({ revision: 1 })
   })
 
+  it('should find what is declared in vain or in contradiction, and what differs', async () => {
+    const kinds = [
+      { name: 'check', methods: ['GET'], idempotent: true, targetMs: 9000, deadlineMs: 1000 },
+      { name: 'never', methods: ['GET'], idempotent: true, attempts: 1 }
+    ]
+    const customers = [{ name: 'a', keyDigests: ['0'.repeat(64)], burst: 5 }]
+    const path = file('d.yaml', JSON.stringify({ ...smallDocument({ kinds }, { idleMs: 200 }), customers }))
+    expect(await command('check', path)).to.equal(EXIT.done)
+    const { findings, revision, delta } = JSON.parse(printed) as { findings: Array<{ path: string }>, revision: number, delta: object }
+    expect(findings.map((finding) => finding.path)).to.deep.equal([
+      'services.0.kinds.1', 'services.0.kinds.0.targetMs', 'services.0.kinds.1.attempts', 'customers.0.burst', 'policies.headerMs'
+    ])
+    expect([revision, Object.keys(delta)]).to.deep.equal([1, ['zones', 'removedZones', 'services', 'removedServices', 'routes',
+      'removedRoutes', 'customers', 'removedCustomers', 'policies']])
+    expect(await command('check', '--strict', '--offline', path)).to.equal(EXIT.refused)
+    expect(await command('check', '--strict', '--offline', file('d.yaml', document()))).to.equal(EXIT.done)
+    expect(await command('check', '--offline', file('d.yaml', '{}'))).to.equal(EXIT.refused)
+  })
+
   it('should tell a difference by its exit code', async () => {
     expect(await command('diff', file('d.yaml', document()))).to.equal(EXIT.done)
     expect(await command('diff', file('d.yaml', document({ coldMs: 400 })))).to.equal(EXIT.refused)
--- a/tests/platform.spec.ts
+++ b/tests/platform.spec.ts
@@ -1,5 +1,6 @@
 /** The adapter to the users' platform: what it reads and writes, and that nothing else knows its names. */
 import { expect } from 'chai'
+import { createHash } from 'node:crypto'
 import { readdirSync, readFileSync, statSync } from 'node:fs'
 import { join } from 'node:path'
 import { parse } from 'yaml'
@@ -68,7 +69,8 @@
       timeoutMs: 800,
       targetMs: 200,
       priority: 2,
-      attempts: 2
+      attempts: 2,
+      open: false
     })
     expect(gateway.routes[1]).to.deep.include({ repeatable: false, shares: [{ service: 's2', weight: 1 }], attempts: 1 })
     expect(gateway.services[0]).to.deep.include({ probePath: '/health', coldMs: 3000, coldPerSecond: 6.7 })
@@ -81,6 +83,28 @@
     expect(reader.declaration(row('config', { ...CONFIG, routes: [{}] }))).to.equal(undefined)
   })
 
+  it('should read an order of a roll-out, and name its status in the users\' words', () => {
+    const order = { service: 's1', target: 'v2', duration_s: 12 }
+    expect(reader.declaration(row('rollout/s1', order))).to.deep.equal({
+      kind: 'rollout', order: { service: 's1', target: 'v2', durationMs: 12_000 }
+    })
+    expect(reader.declaration(row('rollout/s1', { ...order, duration_s: -1 }))).to.equal(undefined)
+    expect(new PlatformProtocol().rolloutStatusRow('s1', { status: 'rolled-back', target: 'v2' })).to.deep.equal({
+      table: 'status', key: 'rollout/s1', value: '{"state":"rolled_back","target":"v2"}'
+    })
+  })
+
+  it('should read customers without their keys, and refuse a key that two of them hold', () => {
+    const tenants = [{ name: 'a', api_keys: ['k1', 'k2'], priority: 1, rate_per_s: 5, burst: 6 }, { name: 'b', api_keys: ['k3'] }]
+    const declaration = reader.declaration(row('config', { ...CONFIG, tenants }))
+    if (declaration?.kind !== 'gateway') return expect.fail('no gateway')
+    expect(declaration.gateway.customers?.[0]).to.deep.include({ name: 'a', priority: 1, ratePerSecond: 5, burst: 6 })
+    expect(declaration.gateway.customers?.[0]?.keyDigests[0]).to.equal(createHash('sha256').update('k1').digest('hex'))
+    expect(JSON.stringify(declaration)).to.not.include('k3')
+    const shared = [...tenants, { name: 'c', api_keys: ['k1'] }]
+    expect(reader.declaration(row('config', { ...CONFIG, tenants: shared }))).to.equal(undefined)
+  })
+
   it('should read a registration', () => {
     expect(reader.server(row('i-7', SERVER))).to.deep.equal({
       id: 'i-7',
@@ -92,7 +116,9 @@
       slots: 2,
       state: 'ready',
       coldMs: 40,
-      version: 7
+      version: 7,
+      softwareVersion: 'v1',
+      bornAt: 1768123340169
     })
   })
 
--- a/tests/reference.spec.ts
+++ b/tests/reference.spec.ts
@@ -28,6 +28,7 @@
       callerConnections: none,
       connectionsClosed: none,
       portStates: () => [],
+      zoneBytes: () => [],
       rollouts: () => [],
       heldBytes: none,
       notHeld: none
