--- a/packages/core/src/rollouts/versionTrial.ts
+++ b/packages/core/src/rollouts/versionTrial.ts
@@ -24,7 +24,7 @@
   isOpen: (now: number) => boolean
 }
 
-/** Keeps a distance from the limit: requests that arrive on a connection twice count twice at the server. */
+/** Leaves a margin for requests that reached a server although their entry did not learn of it. */
 const USED_SHARE_FRACTION = 0.9
 /** Entries that are split into two groups when a roll-out begins may both use the slack. */
 const USED_SLACK_FRACTION = 0.5
