--- a/review/lib-2/backend.mjs
+++ b/review/lib-2/backend.mjs
@@ -9,12 +9,11 @@
   #server
   #beat
   #sequence = 0
-  #delayMs = 0
   #born = Date.now()
 
   /** `arrived` is called with each request that the server runs. */
   constructor (options) {
-    this.#options = { slots: 8, workMs: 20, state: 'ready', arrived: () => {}, ...options }
+    this.#options = { slots: 8, workMs: 20, arrived: () => {}, ...options }
   }
 
   get id () {
@@ -29,30 +28,6 @@
     this.#beat = setInterval(() => this.#register(), BEAT_MS)
   }
 
-  /** Reports to the store now, and every `BEAT_MS` from now on. */
-  beatNow () {
-    clearInterval(this.#beat)
-    this.#beat = setInterval(() => this.#register(), BEAT_MS)
-    return this.#register()
-  }
-
-  /** Reports to the store that the server leaves. Returns when the store has acknowledged that. */
-  drain () {
-    this.#options.state = 'draining'
-    return this.beatNow()
-  }
-
-  /** The store performs the next heartbeat `ms` milliseconds late and does not answer it. */
-  delayNextBeat (ms) {
-    this.#delayMs = ms
-  }
-
-  /** Ends at once, as a server does that has left: what it still works on gets no answer, and its entry is removed. */
-  leave () {
-    this.stop()
-    this.#options.store.remove('servers', this.id)
-  }
-
   stop () {
     clearInterval(this.#beat)
     this.#server.close()
@@ -60,26 +35,19 @@
   }
 
   #register () {
-    const { id, host, service, zone, slots, state, store, reported = () => {} } = this.#options
+    const { id, host, service, zone, slots, store } = this.#options
     this.#sequence += 1
-    const entry = {
+    store.put('servers', id, {
       service,
       address: `${host}:${this.#server.address().port}`,
       zone,
       config_version: 'v1',
       slots,
-      state,
+      state: 'ready',
       warmup_left_ms: 0,
       sequence: this.#sequence,
       born: this.#born
-    }
-    const put = () => {
-      reported(entry)
-      return store.put('servers', id, entry)
-    }
-    if (this.#delayMs === 0) return put()
-    setTimeout(put, this.#delayMs)
-    this.#delayMs = 0
+    })
   }
 
   #receive (request, response) {
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -61,6 +61,11 @@
   return { command: command.split(' '), template: readFileSync(join(REPOSITORY, template), 'utf8') }
 }
 
+const children = new Set()
+// A case that is stopped from outside ends its entries too.
+process.on('exit', () => children.forEach((child) => child.kill('SIGKILL')))
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => process.exit(2))
+
 /** One entry, which can be killed and started again. */
 export class Entry {
   #child
@@ -94,16 +99,17 @@
     const env = { PATH: process.env.PATH, HOME: this.#folder, GOOSEBERRYSPAN_NODE_FILE: path }
     const child = spawn(program, args, { cwd: REPOSITORY, env, stdio: ['ignore', 'ignore', 'ignore'] })
     child.isExpectedToEnd = false
+    children.add(child)
     child.once('exit', () => {
+      children.delete(child)
       if (!child.isExpectedToEnd) this.unexpectedEnds += 1
     })
     this.#child = child
   }
 
-  /** Sends a signal; resolves when the process has ended, if the signal ends it. */
+  /** Sends a signal that ends the process, and resolves when it has ended. */
   signal (name) {
     const child = this.#child
-    if (name !== 'SIGKILL' && name !== 'SIGTERM') return void child.kill(name)
     child.isExpectedToEnd = true
     if (child.exitCode !== null || child.signalCode !== null) return Promise.resolve()
     const ended = new Promise((resolve) => child.once('exit', resolve))
