Lend each entry's part of a quota to one holder at a time

Cause, the same in all three: what an entry could grant followed from whom it saw. Each candidate that saw a majority counted the whole rate, a smaller side counted a part besides, and a candidate that counted again used the bucket of its earlier time.

Change: a quota is divided into equal parts, one for each entry that may be running (FleetSize counts those that are down or cut off too). An entry lends its part to one holder at a time, until a time that the holder measures from its own request, so that delays and pauses only shorten it. A holder counts within the sum of the parts that it has. A part that was not returned starts anew with nothing; one that is handed over takes its tokens along. A new process lends nothing until every loan of the process before it has ended. So the sum over all holders stays within the quota, whoever sees whom and however often a holder changes. What may be granted besides is a reserve of 5 requests and 0.2 s of the rate, lent at most once in 3.1 s, while the holder of the parts does not answer.

Calm service: questions are passed on to the holder by those that reach it, a preferred holder takes over with the tokens, a planned stop refuses nothing.

Related: a holder that does not know the customer yet no longer lets its requests pass; a request that is returned late no longer adds a token that would have been lost meanwhile; refunds go to the entry that has counted.

--- a/packages/core/src/budgets/rateLimiter.ts
+++ b/packages/core/src/budgets/rateLimiter.ts
@@ -28,9 +28,13 @@
     this._tokens -= 1
   }
 
-  /** Returns a token that was not used. */
-  refund (): void {
-    this._tokens += 1
+  /** Adds tokens. Those above the burst are lost at the next call that names a rate. */
+  add (tokens: number): void {
+    this._tokens += tokens
+  }
+
+  get tokens (): number {
+    return this._tokens
   }
 
   private _refill ({ perMs, burst }: Rate, now: number): void {
--- a/packages/core/src/configuration/gateway.ts
+++ b/packages/core/src/configuration/gateway.ts
@@ -81,3 +81,8 @@
   /** Zones that the configuration document takes out of service. */
   zonesOut: readonly string[]
 }
+
+/** Whether a customer's requests are counted. */
+export function isLimited (customer: Customer | undefined): customer is Customer {
+  return customer?.ratePerSecond !== undefined && customer.ratePerSecond > 0
+}
--- /dev/null
+++ b/packages/core/src/customers/quotaLender.ts
@@ -0,0 +1,87 @@
+/** Lends this entry's part of the quotas to the holders that count for the groups of customers. */
+import type { FleetSize } from '../members/fleetSize.js'
+import { QUOTA_GROUPS } from './quotaCandidates.js'
+import { QuotaSlice, type Holder, type Lending } from './quotaSlice.js'
+
+export interface QuotaLenderOptions {
+  fleetSize: FleetSize
+  /** Whether the whole cluster starts for the first time, so that no process before this one can have lent anything. */
+  isFirstStart: boolean
+  /** Whether this entry is the only one through which others join, so that it may be the only one. */
+  isOnlySeed: boolean
+}
+
+/** Time between two requests for the same part. Above some 70 entries it grows, so that a holder sends 333 of them a second at most. */
+const MIN_COLLECT_INTERVAL_MS = 200
+const COLLECT_INTERVAL_PER_ENTRY_MS = 3
+/** A part is lent for this many intervals, so that some messages may be lost, and for a while more. */
+const LEASE_INTERVALS = 3
+const LEASE_MARGIN_MS = 100
+/** A new process owns its part when every loan by the process before it has ended, and a while later. */
+const SETTLING_MARGIN_MS = 200
+/** Time within which an entry that finds no other one has usually read from the store whether there are any. */
+const STORE_LOOKUP_MS = 300
+
+/** This entry's equal part of all quotas, lent group by group. */
+export class QuotaLender {
+  private readonly _options: QuotaLenderOptions
+  private readonly _slices: QuotaSlice[] = []
+  private _startedAt: number | undefined
+  /** Groups whose reserve replaces what they have accumulated while this entry, the only one, was down. */
+  private readonly _initialReserves = new Set<number>()
+
+  constructor (options: QuotaLenderOptions) {
+    this._options = options
+  }
+
+  /** The part of this entry. */
+  shareAt (now: number): number {
+    return 1 / Math.max(1, this._options.fleetSize.countAt(now))
+  }
+
+  /** Time between two requests for the same part. */
+  intervalMs (now: number): number {
+    return Math.max(MIN_COLLECT_INTERVAL_MS, COLLECT_INTERVAL_PER_ENTRY_MS * this._options.fleetSize.countAt(now))
+  }
+
+  /** How long a part is lent. */
+  leaseMs (now: number): number {
+    return LEASE_INTERVALS * this.intervalMs(now) + LEASE_MARGIN_MS
+  }
+
+  /** Whether this entry may be the only one, and is about to learn it from the store. */
+  isLookingForOthers (now: number): boolean {
+    const { isOnlySeed, isFirstStart, fleetSize } = this._options
+    return isOnlySeed && !isFirstStart && !fleetSize.hasReport && now - (this._startedAt ?? now) < STORE_LOOKUP_MS
+  }
+
+  /** Lends the part of a group, or extends the loan. Returns undefined while this entry owns none. */
+  lend (group: number, to: Holder, leaseMs: number, now: number): Lending | undefined {
+    return this._slices[group]?.lend(to, leaseMs, now)
+  }
+
+  /** Whether the reserve of a group is lent now, if it is needed. */
+  takeReserve (group: number, isNeeded: boolean, now: number): boolean {
+    if (!this._initialReserves.delete(group) && !isNeeded) return false
+    return this._slices[group]?.takeReserve(now) ?? false
+  }
+
+  /** Ends a loan before its time. */
+  returned (group: number, from: Holder, now: number): void {
+    this._slices[group]?.returned(from, now)
+  }
+
+  tick (now: number): void {
+    this._startedAt ??= now
+    if (this._slices.length > 0) return
+    const { isOnlySeed, isFirstStart, fleetSize } = this._options
+    const knowsFleet = isFirstStart || fleetSize.hasReport
+    if (!knowsFleet) return
+    const isAlone = isOnlySeed && fleetSize.countAt(now) <= 1
+    if (!isAlone && now - this._startedAt < this.leaseMs(now) + SETTLING_MARGIN_MS) return
+    for (let group = 0; group < QUOTA_GROUPS; group++) {
+      this._slices.push(new QuotaSlice(isAlone ? -Infinity : this._startedAt, now))
+      if (isAlone) this._initialReserves.add(group)
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/customers/quotaSlice.ts
@@ -0,0 +1,70 @@
+/** This entry's part of the quotas of a group of customers, which it lends to one holder at a time. */
+
+/** An entry process that counts requests with the parts that others lend to it. */
+export interface Holder {
+  instance: string
+  incarnation: number
+}
+
+/** The result of a request for a part. */
+export type Lending =
+  /** `restedMs`: time for which nobody has used the part, so that it has accumulated requests. */
+  | { kind: 'lent', restedMs: number }
+  /** Another holder has the part for at most this time. */
+  | { kind: 'held', holder: string, forMs: number }
+
+/** A loan is never longer than this, however the holder asks. */
+const MAX_LEASE_MS = 10_000
+/**
+ * Time between two loans of the reserve, and how long a holder uses it. At most two reserves of an entry are used within 5 seconds, the
+ * window in which deployments count: twice 5 requests and 0.2 seconds' worth, where they tolerate 20 and 0.5 seconds' worth.
+ */
+export const RESERVE_INTERVAL_MS = 3100
+export const RESERVE_USE_MS = 1000
+
+export class QuotaSlice {
+  private _holder: Holder | undefined
+  private _lentUntil = -Infinity
+  private _freeSince: number
+  private _reserveUsedAt: number
+
+  /** `now` is the time from which this entry owns the part. An entry that has just started may have lent the reserve before. */
+  constructor (startedAt: number, now: number) {
+    this._freeSince = now
+    this._reserveUsedAt = startedAt
+  }
+
+  /** Lends the part, or extends the loan of the same holder. A new process of the holder's instance proves that the old one has ended. */
+  lend (to: Holder, leaseMs: number, now: number): Lending {
+    this._expire(now)
+    const holder = this._holder
+    if (holder && (holder.instance !== to.instance || holder.incarnation > to.incarnation)) {
+      return { kind: 'held', holder: holder.instance, forMs: this._lentUntil - now }
+    }
+    const restedMs = this._holder ? 0 : now - this._freeSince
+    this._holder = { ...to }
+    this._lentUntil = now + Math.min(leaseMs, MAX_LEASE_MS)
+    return { kind: 'lent', restedMs }
+  }
+
+  /** Ends the loan before its time, because the holder uses the part no more. */
+  returned (from: Holder, now: number): void {
+    this._expire(now)
+    if (this._holder?.instance !== from.instance || this._holder.incarnation !== from.incarnation) return
+    this._holder = undefined
+    this._freeSince = now
+  }
+
+  /** Whether the reserve may be lent now. */
+  takeReserve (now: number): boolean {
+    if (now - this._reserveUsedAt < RESERVE_INTERVAL_MS) return false
+    this._reserveUsedAt = now
+    return true
+  }
+
+  private _expire (now: number): void {
+    if (!this._holder || now < this._lentUntil) return
+    this._holder = undefined
+    this._freeSince = this._lentUntil
+  }
+}
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -7,6 +7,7 @@
 import type { AttemptEvent, Event, ProbedEvent, ReceivedEvent } from './events.js'
 import { Invariants, type InvariantReporter } from './invariants.js'
 import type { AddressBook } from './members/addressBook.js'
+import { FleetSize } from './members/fleetSize.js'
 import { Joining, type PeerAddress } from './members/joining.js'
 import type { Member, MemberUpdate, Phase } from './members/member.js'
 import type { GrantedMessage, PeerMessage, PeerState, PeerStateQuery } from './members/peerMessages.js'
@@ -90,6 +91,7 @@
   private readonly _schedulerClient: SchedulerClient
   private readonly _statements: ServerStatements
   private readonly _warmUp = new WarmUp(MAX_ACTIVE_TICK_MS)
+  private readonly _fleetSize = new FleetSize()
   private _now = 0
   private _hasExited = false
   private _callerPortIsOpen = true
@@ -150,7 +152,7 @@
       rowsChanged: (table, rows, now) => ledger.apply(table, rows, now),
       storeRecovered: (now) => catalog.storeRecovered(now)
     })
-    this._registration = new Registration({ roster, roles, outbox, random })
+    this._registration = new Registration({ roster, fleetSize: this._fleetSize, roles, outbox, random })
     this._joining = new Joining({ roster, seeds, outbox, random, isFirstStart: options.isFirstStart })
     const holds = new ServerHolds({ catalog, random })
     this.holds = holds
@@ -179,7 +181,15 @@
       limitsOf: (service, cell, now) => limits.ofAll(cells.usable(service, cell), now),
       timedOut: (schedulerRequest, now) => this.requests.schedulerTimedOut(schedulerRequest, now)
     })
-    this.quotas = new Quotas({ declarations, roster, roles, outbox, random })
+    this.quotas = new Quotas({
+      declarations,
+      roster,
+      roles,
+      outbox,
+      fleetSize: this._fleetSize,
+      isFirstStart: options.isFirstStart ?? false,
+      isOnlySeed: seeds.every(({ host, port }) => host === identity.host && port === identity.peerPort)
+    })
     const cellSelector = new CellSelector({ cells, roster, random })
     this.requests = new RequestHandler({
       declarations,
@@ -316,7 +326,6 @@
   private _processResumed (now: number): void {
     this.requests.processResumed(now)
     this.rollouts.versions.processResumed(now)
-    this.quotas.processResumed()
   }
 
   private _attemptEnded ({ attempt, report, status }: AttemptEvent, now: number): void {
@@ -349,9 +358,15 @@
       case 'queued': return this._schedulerClient.queued(from.instance, message.asks, now)
       case 'unknown': return this._schedulerClient.unknown(from.instance, message.asks, now)
       case 'server-leaving': return this._statements.reported(from.instance, message, now)
-      case 'quota-ask': return this.quotas.asked(from, message, now)
-      case 'quota-answer': return this.quotas.answered(from.instance, message, now)
-      case 'quota-refund': return this.quotas.refunded(message)
+      case 'quota-ask':
+      case 'quota-answer':
+      case 'quota-refund':
+      case 'quota-collect':
+      case 'quota-lend':
+      case 'quota-return':
+      case 'quota-claim':
+      case 'quota-handover':
+        return this.quotas.received(from, message, now)
       case 'rollout-report': return this.rollouts.reported(from, message, now)
       case 'rollout-verdict': return this.rollouts.judged(message, now)
     }
@@ -371,8 +386,9 @@
   /** Handles the entries that the store names: those that ran before this one started, or those that a leader has registered. */
   private _entriesFound (book: AddressBook, now: number): void {
     const { isLeader } = this._registration
-    if (isLeader) this._registration.check(book)
-    else this._expectEntries(book.entryCount, now)
+    this._fleetSize.report({ count: book.fleetCount ?? book.entryCount, ageMs: 0 }, now)
+    if (isLeader) this._registration.check(book, now)
+    else if (book.entryCount > 0) this._expectEntries(book.entryCount, now)
     if (!isLeader || !this._registration.namesSelf(book)) this._joining.entriesFound(book.addresses)
   }
 
--- a/packages/core/src/members/addressBook.ts
+++ b/packages/core/src/members/addressBook.ts
@@ -12,19 +12,24 @@
   addresses: PeerAddress[]
   /** Number of all of them. */
   entryCount: number
+  /** Number of entries that may be running, with those that could not be reached; absent in books of earlier versions. */
+  fleetCount?: number
 }
 
+/** The book that stands for a missing or unreadable row. */
+export const EMPTY_ADDRESS_BOOK: AddressBook = { addresses: [], entryCount: 0 }
+
 /** Keeps the row small in a cluster of hundreds; a starting entry needs only a few addresses that answer. */
 const MAX_ADDRESSES = 48
 /** The book is written again when fewer of the registered or of the present entries than this fraction are in both. */
 const MIN_VALID_FRACTION = 0.5
 
 /** The book that this entry registers as change-feed leader. */
-export function newAddressBook (roster: Roster, random: Random): AddressBook {
+export function newAddressBook (roster: Roster, fleetCount: number, random: Random): AddressBook {
   const { self, alive } = roster
   const others = shuffled(alive.filter((member) => member.instance !== self.instance), random)
   const addresses = [self, ...others].slice(0, MAX_ADDRESSES).map(({ host, peerPort }) => ({ host, port: peerPort }))
-  return { addresses, entryCount: alive.length }
+  return { addresses, entryCount: alive.length, fleetCount }
 }
 
 /** Whether too much of a registered book is no longer true. */
--- a/packages/core/src/members/peerMessages.ts
+++ b/packages/core/src/members/peerMessages.ts
@@ -208,12 +208,14 @@
   goesOn: boolean
 }
 
-/** Asks the keeper of a customer's quota for one request. */
+/** Asks a holder of parts of a customer's quota for one request. */
 export interface QuotaAskMessage {
   kind: 'quota-ask'
-  /** Number of the sender's request. */
+  /** Number of the sender's question. */
   ask: number
   customer: string
+  /** How often the question has been passed on; absent if the sender asks for itself. */
+  hops?: number
 }
 
 /** Answers such a question. */
@@ -222,12 +224,80 @@
   ask: number
   /** Present if the quota is used up: when the caller may return. */
   retryAfterMs?: number
+  /** The entry that has counted the request, if it is not the sender. */
+  holder?: string
 }
 
-/** Returns a request that was within the quota and has not run. */
+/** Returns a request that was within the quota and has not run to the entry that has counted it. */
 export interface QuotaRefundMessage {
   kind: 'quota-refund'
   customer: string
+  /** Time since it was counted; absent in older versions' messages. */
+  ageMs?: number
+}
+
+/** Asks an entry to lend its part of the quotas of a group of customers to the sender. */
+export interface QuotaCollectMessage {
+  kind: 'quota-collect'
+  group: number
+  leaseMs: number
+  /** End of the loan on the sender's clock; the answer repeats it. */
+  expiresAt: number
+  /** Whether the reserve is needed, because the holder of the parts does not answer. */
+  reserve: boolean
+  /** Number of entries that may be running, as the sender knows it, and the age of that knowledge. */
+  count: number
+  countAgeMs: number
+}
+
+/** Lends a part, or says who has it. */
+export interface QuotaLendMessage {
+  kind: 'quota-lend'
+  group: number
+  /** Incarnation of the receiver when it asked. */
+  incarnation: number
+  expiresAt: number
+  /** The sender's part of the quotas; 0 if it owns none yet. */
+  share: number
+  /** Time for which nobody has used the part. */
+  restedMs: number
+  /** Whether the sender lends its reserve. */
+  reserve?: boolean
+  /** Present if the part itself is not lent, because another entry has it. */
+  holder?: string
+  /** How long it is lent to the other entry. */
+  heldMs?: number
+  count: number
+  countAgeMs: number
+}
+
+/** Gives a part back before the end of the loan. */
+export interface QuotaReturnMessage {
+  kind: 'quota-return'
+  group: number
+}
+
+/** Asks a holder to hand over to the sender, which is the first candidate. */
+export interface QuotaClaimMessage {
+  kind: 'quota-claim'
+  group: number
+  /** Time on the sender's clock, which the answer repeats. */
+  claimedAt: number
+}
+
+/** Passes on what is left of the parts that the sender has just given back. */
+export interface QuotaHandoverMessage {
+  kind: 'quota-handover'
+  group: number
+  incarnation: number
+  claimedAt: number
+  /** The sum of the parts. */
+  share: number
+  /** Customers that are not listed have requested nothing for this long. */
+  idleMs: number
+  /** What the customers may still request, by index. */
+  customers: string[]
+  tokens: number[]
 }
 
 /** Any message between entries. */
@@ -254,6 +324,11 @@
   | QuotaAskMessage
   | QuotaAnswerMessage
   | QuotaRefundMessage
+  | QuotaCollectMessage
+  | QuotaLendMessage
+  | QuotaReturnMessage
+  | QuotaClaimMessage
+  | QuotaHandoverMessage
 
 /** A member's replicas of the store tables, for a member that joins or has stale replicas. */
 export interface PeerState {
--- a/packages/core/src/members/registration.ts
+++ b/packages/core/src/members/registration.ts
@@ -2,12 +2,14 @@
 import type { Outbox } from '../effects.js'
 import type { Random } from '../random.js'
 import { isOutdated, newAddressBook, type AddressBook } from './addressBook.js'
+import type { FleetSize } from './fleetSize.js'
 import type { Roles } from './roles.js'
 import type { Roster } from './roster.js'
 
 /** Dependencies of a registration. */
 export interface RegistrationOptions {
   roster: Roster
+  fleetSize: FleetSize
   roles: Roles
   outbox: Outbox
   random: Random
@@ -47,7 +49,7 @@
     }
     if (now - this._leaderSince < REGISTRATION_DELAY_MS || now - this._registeredAt < CHECK_INTERVAL_MS) return
     if (this._registeredAt > -Infinity) outbox.put({ kind: 'find-entries' })
-    else this._register()
+    else this._register(now)
     this._registeredAt = now
   }
 
@@ -57,13 +59,17 @@
     return leader?.host === host && leader.port === peerPort
   }
 
-  /** Registers the entries again if the store names another leader, or too many entries that are gone. To be called on the leader. */
-  check (book: AddressBook): void {
-    if (!this.namesSelf(book) || isOutdated(book, this._options.roster)) this._register()
+  /**
+   * Registers the entries again if the store names another leader, too many entries that are gone, or another number of entries. To be
+   * called on the leader.
+   */
+  check (book: AddressBook, now: number): void {
+    const { roster, fleetSize } = this._options
+    if (!this.namesSelf(book) || isOutdated(book, roster) || book.fleetCount !== fleetSize.countAt(now)) this._register(now)
   }
 
-  private _register (): void {
-    const { outbox, roster, random } = this._options
-    outbox.put({ kind: 'register-entries', book: newAddressBook(roster, random) })
+  private _register (now: number): void {
+    const { outbox, roster, fleetSize, random } = this._options
+    outbox.put({ kind: 'register-entries', book: newAddressBook(roster, fleetSize.countAt(now), random) })
   }
 }
--- a/packages/core/src/members/roles.ts
+++ b/packages/core/src/members/roles.ts
@@ -56,7 +56,8 @@
   keepersOf (count: string): MemberOrder {
     let order = this._keepers.get(count)
     if (!order) {
-      order = this._topCandidates(count, this._notLeaving())
+      const ready = this._roster.alive.filter(({ phase }) => phase === 'ready')
+      order = this._topCandidates(count, ready.length > 0 ? ready : this._notLeaving())
       this._keepers.set(count, order)
     }
     return order
--- a/packages/core/src/placement/limitedRates.ts
+++ b/packages/core/src/placement/limitedRates.ts
@@ -49,7 +49,7 @@
 
   /** Takes back a request that was not sent. */
   refund (id: string): void {
-    this._limiters.get(id)?.limiter.refund()
+    this._limiters.get(id)?.limiter.add(1)
   }
 
   /** Forgets a server. */
--- a/packages/core/src/requests/request.ts
+++ b/packages/core/src/requests/request.ts
@@ -1,5 +1,6 @@
 /** The state that an entry keeps for a caller's request. */
 import type { Customer, Route } from '../configuration/gateway.js'
+import type { CountedRequest } from '../customers/quotas.js'
 import type { RegisteredServer } from '../discovery/registeredServer.js'
 import type { Purpose } from '../placement/placementRequest.js'
 
@@ -78,8 +79,8 @@
   hedgeAt: number
   /** Whether part of an answer has been sent to the caller. */
   streaming: boolean
-  /** Whether it counts for the quota of its customer. */
-  counted: boolean
+  /** Present if it counts for the quota of its customer. */
+  counted?: CountedRequest
   callerLeft: boolean
 }
 
@@ -108,7 +109,6 @@
     mayHaveRun: false,
     hedgeAt: Infinity,
     streaming: false,
-    counted: false,
     callerLeft: false
   }
 }
--- a/packages/core/src/requests/requestHandler.ts
+++ b/packages/core/src/requests/requestHandler.ts
@@ -1,7 +1,8 @@
 /** Handles a request at the entry that received it: asks a scheduler for a server, runs attempts, returns one answer or refusal. */
 import type { QuotaDecision } from '../customers/quotaBuckets.js'
-import { Quotas, type QuotaListener } from '../customers/quotas.js'
+import type { Quotas, QuotaListener } from '../customers/quotas.js'
 import type { Declarations } from '../configuration/declarations.js'
+import { isLimited } from '../configuration/gateway.js'
 import type { Catalog } from '../discovery/catalog.js'
 import type { RegisteredServer } from '../discovery/registeredServer.js'
 import type { Outbox, FailureReason } from '../effects.js'
@@ -120,26 +121,24 @@
     const request = newRequest(spec, this._options.cellSelector.choose(spec.service), now)
     this._requests.set(spec.id, request)
     if (!this._options.plannedStop.leavesTimeFor(request.expiresAt)) return this._endForStop(request, now)
-    if (Quotas.isLimited(spec.customer)) return this._options.quotas.ask(spec.id, spec.customer, now)
+    if (isLimited(spec.customer)) return this._options.quotas.ask(spec.id, spec.customer, now)
     this._requestServer(request, 'first', now)
   }
 
   quotaDecided (id: number, customer: string, decision: QuotaDecision, now: number): void {
     const request = this._requests.get(id)
-    if (decision.kind === 'exceeded') {
-      if (request) this._end(request, 'quota', decision.retryAfterMs, now)
-      return
-    }
-    if (!request) return this._options.quotas.refund(customer, now)
-    request.counted = true
+    if (decision.kind === 'exceeded') return request && this._end(request, 'quota', decision.retryAfterMs, now)
+    const counted = decision.holder === undefined ? undefined : { customer, holder: decision.holder, at: now }
+    if (!request) return counted && this._options.quotas.refund(counted, now)
+    request.counted = counted
     this._requestServer(request, 'first', now)
   }
 
   /** Takes a request that has not run back from the count of its customer. */
   private _refund (request: OpenRequest, now: number): void {
     if (!request.counted || request.mayHaveRun || request.attempts.size > 0) return
-    request.counted = false
-    this._options.quotas.refund(request.spec.customer!.name, now)
+    this._options.quotas.refund(request.counted, now)
+    request.counted = undefined
   }
 
   /** Handles a closed caller connection. Cancels attempts of repeatable requests; attempts of other requests run to their end. */
--- a/packages/entry/src/peers/datagramCodec.ts
+++ b/packages/entry/src/peers/datagramCodec.ts
@@ -44,9 +44,22 @@
   'server-leaving': [['server', 'string'], ['incarnation', 'string']],
   'rollout-report': [['service', 'string'], ['order', 'number'], ['routes', 'answers'], ['settled', 'flag']],
   'rollout-verdict': [['service', 'string'], ['order', 'number'], ['goesOn', 'flag']],
-  'quota-ask': [['ask', 'number'], ['customer', 'string']],
-  'quota-answer': [['ask', 'number'], ['retryAfterMs', 'number?']],
-  'quota-refund': [['customer', 'string']]
+  'quota-ask': [['ask', 'number'], ['customer', 'string'], ['hops', 'number?']],
+  'quota-answer': [['ask', 'number'], ['retryAfterMs', 'number?'], ['holder', 'string?']],
+  'quota-refund': [['customer', 'string'], ['ageMs', 'number?']],
+  'quota-collect': [
+    ['group', 'number'], ['leaseMs', 'number'], ['expiresAt', 'number'], ['reserve', 'flag'], ['count', 'number'], ['countAgeMs', 'number']
+  ],
+  'quota-lend': [
+    ['group', 'number'], ['incarnation', 'number'], ['expiresAt', 'number'], ['share', 'number'], ['restedMs', 'number'],
+    ['reserve', 'flag?'], ['holder', 'string?'], ['heldMs', 'number?'], ['count', 'number'], ['countAgeMs', 'number']
+  ],
+  'quota-return': [['group', 'number']],
+  'quota-claim': [['group', 'number'], ['claimedAt', 'number']],
+  'quota-handover': [
+    ['group', 'number'], ['incarnation', 'number'], ['claimedAt', 'number'], ['share', 'number'], ['idleMs', 'number'],
+    ['customers', 'strings'], ['tokens', 'numbers']
+  ]
 }
 
 const KINDS = Object.keys(FIELDS) as Kind[]
--- a/packages/entry/src/runtime/zoneTraffic.ts
+++ b/packages/entry/src/runtime/zoneTraffic.ts
@@ -25,6 +25,11 @@
   'quota-ask': 'quotas',
   'quota-answer': 'quotas',
   'quota-refund': 'quotas',
+  'quota-collect': 'quotas',
+  'quota-lend': 'quotas',
+  'quota-return': 'quotas',
+  'quota-claim': 'quotas',
+  'quota-handover': 'quotas',
   'rollout-report': 'roll-outs',
   'rollout-verdict': 'roll-outs'
 }
--- a/packages/entry/src/store/storeExecutor.ts
+++ b/packages/entry/src/store/storeExecutor.ts
@@ -1,7 +1,8 @@
 /** Executes the core's store operations. Each table read reports exactly one result: the rows, the changes or the reason of a failure. */
 import { Channel, awaitPromise, takeUnlessClosed, type Child, type Scope, type ProcessBody } from '@gooseberryspan/csp'
 import {
-  TABLES, type AddressBook, type ReadTableEffect, type RolloutStatus, type TableName, type TableReadResult, type WriteRolloutEffect
+  EMPTY_ADDRESS_BOOK, TABLES, type AddressBook, type ReadTableEffect, type RolloutStatus, type TableName, type TableReadResult,
+  type WriteRolloutEffect
 } from '@gooseberryspan/core'
 import type { RowName, Store } from '@gooseberryspan/store'
 import { ADDRESS_BOOK_ROW, decodeAddressBook, encodeAddressBook } from './addressBookRow.js'
@@ -45,7 +46,7 @@
     this._tasks.offer(async () => {
       const row = await this._options.store.readRow(ADDRESS_BOOK_ROW)
       const book = row?.value === undefined ? undefined : decodeAddressBook(row.value)
-      if (book) this._options.found(book)
+      this._options.found(book ?? EMPTY_ADDRESS_BOOK)
     })
   }
 
--- a/tests/quotas.spec.ts
+++ b/tests/quotas.spec.ts
@@ -83,6 +83,23 @@
     expect(decisions).to.deep.equal([1, 2, 3].map((place) => ({ kind: 'exceeded', retryAfterMs: place * wait })))
   })
 
+  // Guards against requests that wait for a server while the bucket fills up, and are returned on top of that.
+  it('should take back no more than if the requests had not been counted', () => {
+    const buckets = new QuotaBuckets(() => 10)
+    const customer = { name: 'hot', keyDigests: [], ratePerSecond: 10, burst: 10 }
+    let at = 0
+    for (; at < 10; at++) buckets.take(customer, 1, at)
+    for (; at <= 1500; at += 10) buckets.take(customer, 1, at)
+    for (let count = 0; count < 25; count++) buckets.refund('hot', 1, 1300, at)
+    let taken = 0
+    while (taken < 100 && buckets.take(customer, 1, at).kind === 'within') taken += 1
+    expect(taken).to.be.at.most(10).and.at.least(9)
+    for (; at < 3000; at += 10) buckets.take(customer, 1, at)
+    buckets.refund('hot', 1, 200, at)
+    buckets.refund('hot', 1, 4100, at)
+    expect([1, 2].map(() => buckets.take(customer, 1, at).kind)).to.deep.equal(['within', 'exceeded'])
+  })
+
   for (const how of ['ends', 'freezes', 'stops']) {
     it(`should hold when the entry that counts ${how}, again and again`, () => {
       press('hot', 60, 16_000)
