Count what retries and cold servers get through changes of the scheduler

Where schedulers changed every 600 ms, a service got up to 75 further attempts more than its budget (slack 20) within 10 s; where they restarted every 400 ms, cold servers got 11 requests in a second of 10.5 allowed.

Change: a scheduler that has counted for less than the window of the retry budget uses nothing of its slack; its fraction of the requests that it counts itself stays exact over all schedulers. One that has counted for less than a second uses a tenth of the cold tolerance.

An entry that restarted during a cut took the few entries that it saw for all: whether it sees a majority, and what part of a limit it may use, now follows from the number of entries that may be running, which entries tell each other with their answers to pings and which the leader registers in the store.

--- a/packages/core/src/customers/quotaHolder.ts
+++ b/packages/core/src/customers/quotaHolder.ts
@@ -1,7 +1,6 @@
 /** Collects the parts of quotas that other entries lend, for the groups of customers that this entry counts, and lends its own part. */
 import type { Customer } from '../configuration/gateway.js'
 import type { Outbox } from '../effects.js'
-import type { FleetSize } from '../members/fleetSize.js'
 import type { Member } from '../members/member.js'
 import type {
   QuotaClaimMessage, QuotaCollectMessage, QuotaHandoverMessage, QuotaLendMessage, QuotaReturnMessage
@@ -14,7 +13,6 @@
 
 export interface QuotaHolderOptions extends QuotaCandidatesOptions {
   outbox: Outbox
-  fleetSize: FleetSize
   lender: QuotaLender
 }
 
@@ -79,9 +77,9 @@
     return this._groups.reduce((sum, { pool }) => sum + pool.customerCount, 0)
   }
 
-  /** The largest part of a group's quotas that this entry counts. */
-  shareAt (now: number): number {
-    return Math.max(...this._groups.map(({ pool }) => pool.shareAt(now)))
+  /** Whether parts of a customer's quota are lent to this entry. */
+  hasPart (customer: string, now: number): boolean {
+    return this._groups[quotaGroupOf(customer)]!.pool.shareAt(now) > 0
   }
 
   /** Entries that may count a customer's requests, the preferred one first. */
@@ -146,11 +144,10 @@
 
   /** Handles a request for this entry's part. */
   collected (from: Member, message: QuotaCollectMessage, now: number): void {
-    const { group: number, leaseMs, expiresAt, reserve, count, countAgeMs } = message
-    const { fleetSize, lender, outbox } = this._options
+    const { group: number, leaseMs, expiresAt, reserve } = message
+    const { lender, outbox } = this._options
     if (!this._groups[number]) return
-    fleetSize.report({ count, ageMs: countAgeMs }, now)
-    const answer = { kind: 'quota-lend' as const, group: number, incarnation: from.incarnation, expiresAt, ...this._statement(now) }
+    const answer = { kind: 'quota-lend' as const, group: number, incarnation: from.incarnation, expiresAt }
     if (!this._isActive(number, now)) this._returnOwn(number, now)
     const lending = lender.lend(number, from, leaseMs, now)
     if (!lending) return outbox.send(from, { ...answer, share: 0, restedMs: 0 })
@@ -163,11 +160,10 @@
 
   /** Handles the answer to a request for a part. */
   lent (from: Member, message: QuotaLendMessage, now: number): void {
-    const { group: number, incarnation, share, restedMs, expiresAt, reserve, holder, heldMs, count, countAgeMs } = message
-    const { fleetSize, roster } = this._options
+    const { group: number, incarnation, share, restedMs, expiresAt, reserve, holder, heldMs } = message
+    const { roster } = this._options
     const group = this._groups[number]
     if (!group || incarnation !== roster.self.incarnation) return
-    fleetSize.report({ count, ageMs: countAgeMs }, now)
     if (reserve) group.pool.reserveLent(share, now)
     if (holder !== undefined) {
       group.otherHolder = { instance: holder, at: now }
@@ -220,9 +216,7 @@
   }
 
   tick (now: number): void {
-    const { roster, fleetSize, lender } = this._options
-    fleetSize.tick(roster.alive, now)
-    lender.tick(now)
+    this._options.lender.tick(now)
     if (this._candidates.limitedGroups.size === 0) return
     // The loans of a holder that is no longer active end by themselves, unless a preferred holder claims them before.
     for (const number of this._groups.keys()) {
@@ -240,12 +234,11 @@
     const self = roster.self.instance
     const [intervalMs, leaseMs] = [lender.intervalMs(now), lender.leaseMs(now)]
     const reserve = now < group.reserveUntil
-    const statement = this._statement(now)
     if (!group.pool.hasLoan(self, now + intervalMs)) this._collectOwn(number, now)
     for (const member of roster.alive) {
       if (member.instance === self || now < (group.collectAt.get(member.instance) ?? -Infinity)) continue
       group.collectAt.set(member.instance, now + (group.pool.hasLoan(member.instance, now) ? intervalMs : RETRY_MS))
-      outbox.send(member, { kind: 'quota-collect', group: number, leaseMs, expiresAt: now + leaseMs, reserve, ...statement })
+      outbox.send(member, { kind: 'quota-collect', group: number, leaseMs, expiresAt: now + leaseMs, reserve })
     }
   }
 
@@ -297,9 +290,4 @@
   private _isActive (number: number, now: number): boolean {
     return now < this._groups[number]!.activeUntil || (this._candidates.isFirst(number) && this._candidates.limitedGroups.has(number))
   }
-
-  private _statement (now: number): { count: number, countAgeMs: number } {
-    const { count, ageMs } = this._options.fleetSize.statementAt(now)
-    return { count, countAgeMs: ageMs }
-  }
 }
--- a/packages/core/src/customers/quotaLender.ts
+++ b/packages/core/src/customers/quotaLender.ts
@@ -1,12 +1,10 @@
 /** Lends this entry's part of the quotas to the holders that count for the groups of customers. */
-import type { FleetSize } from '../members/fleetSize.js'
+import type { Roster } from '../members/roster.js'
 import { QUOTA_GROUPS } from './quotaCandidates.js'
 import { QuotaSlice, type Holder, type Lending } from './quotaSlice.js'
 
 export interface QuotaLenderOptions {
-  fleetSize: FleetSize
-  /** Whether the whole cluster starts for the first time, so that no process before this one can have lent anything. */
-  isFirstStart: boolean
+  roster: Roster
   /** Whether this entry is the only one through which others join, so that it may be the only one. */
   isOnlySeed: boolean
 }
@@ -36,12 +34,12 @@
 
   /** The part of this entry. */
   shareAt (now: number): number {
-    return 1 / Math.max(1, this._options.fleetSize.countAt(now))
+    return 1 / Math.max(1, this._options.roster.fleet.countAt(now))
   }
 
   /** Time between two requests for the same part. */
   intervalMs (now: number): number {
-    return Math.max(MIN_COLLECT_INTERVAL_MS, COLLECT_INTERVAL_PER_ENTRY_MS * this._options.fleetSize.countAt(now))
+    return Math.max(MIN_COLLECT_INTERVAL_MS, COLLECT_INTERVAL_PER_ENTRY_MS * this._options.roster.fleet.countAt(now))
   }
 
   /** How long a part is lent. */
@@ -51,8 +49,8 @@
 
   /** Whether this entry may be the only one, and is about to learn it from the store. */
   isLookingForOthers (now: number): boolean {
-    const { isOnlySeed, isFirstStart, fleetSize } = this._options
-    return isOnlySeed && !isFirstStart && !fleetSize.hasReport && now - (this._startedAt ?? now) < STORE_LOOKUP_MS
+    const { isOnlySeed, roster } = this._options
+    return isOnlySeed && !roster.fleet.isInformed && now - (this._startedAt ?? now) < STORE_LOOKUP_MS
   }
 
   /** Lends the part of a group, or extends the loan. Returns undefined while this entry owns none. */
@@ -74,10 +72,9 @@
   tick (now: number): void {
     this._startedAt ??= now
     if (this._slices.length > 0) return
-    const { isOnlySeed, isFirstStart, fleetSize } = this._options
-    const knowsFleet = isFirstStart || fleetSize.hasReport
-    if (!knowsFleet) return
-    const isAlone = isOnlySeed && fleetSize.countAt(now) <= 1
+    const { isOnlySeed, roster: { fleet } } = this._options
+    if (!fleet.isInformed) return
+    const isAlone = isOnlySeed && fleet.countAt(now) <= 1
     if (!isAlone && now - this._startedAt < this.leaseMs(now) + SETTLING_MARGIN_MS) return
     for (let group = 0; group < QUOTA_GROUPS; group++) {
       this._slices.push(new QuotaSlice(isAlone ? -Infinity : this._startedAt, now))
--- a/packages/core/src/customers/quotas.ts
+++ b/packages/core/src/customers/quotas.ts
@@ -195,11 +195,17 @@
     if (!isLimited(customer)) return this._settle(question, { kind: 'within' }, now)
     if (this._holder.tryTake(customer, now)) return this._settle(question, this._counted, now)
     if (this._passOn(question, now)) return
-    if (!this._holder.isCollecting(question.customer, now)) return this._settle(question, this._holder.refuse(customer, now), now)
+    if (!this._holder.isCollecting(question.customer, now)) return this._refuse(question, customer, now)
     question.stage = 'collecting'
     this._questions.set(question.number, question)
   }
 
+  /** Refuses, unless this entry has no part at all: then the one that has passed the question on decides, which may have parts by now. */
+  private _refuse (question: Question, customer: Customer, now: number): void {
+    if (question.hops > 0 && question.asker && !this._holder.hasPart(question.customer, now)) return this._forget(question)
+    this._settle(question, this._holder.refuse(customer, now), now)
+  }
+
   private _passOn (question: Question, now: number): boolean {
     if (question.hops >= MAX_HOPS) return false
     const holder = this._holder.largerHolder(question.customer, now)
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -7,7 +7,6 @@
 import type { AttemptEvent, Event, ProbedEvent, ReceivedEvent } from './events.js'
 import { Invariants, type InvariantReporter } from './invariants.js'
 import type { AddressBook } from './members/addressBook.js'
-import { FleetSize } from './members/fleetSize.js'
 import { Joining, type PeerAddress } from './members/joining.js'
 import type { Member, MemberUpdate, Phase } from './members/member.js'
 import type { GrantedMessage, PeerMessage, PeerState, PeerStateQuery } from './members/peerMessages.js'
@@ -91,7 +90,6 @@
   private readonly _schedulerClient: SchedulerClient
   private readonly _statements: ServerStatements
   private readonly _warmUp = new WarmUp(MAX_ACTIVE_TICK_MS)
-  private readonly _fleetSize = new FleetSize()
   private _now = 0
   private _hasExited = false
   private _callerPortIsOpen = true
@@ -109,6 +107,7 @@
     this.weightedPicker = new WeightedPicker(random)
     this.roster = new Roster({
       self: { ...identity, phase: 'starting', reachesStore: true, isWarm: false, sequence: 1 },
+      isFirstStart: options.isFirstStart,
       random,
       send: (to, message) => outbox.send(to, message),
       changed: () => this.roles.invalidate(),
@@ -152,7 +151,7 @@
       rowsChanged: (table, rows, now) => ledger.apply(table, rows, now),
       storeRecovered: (now) => catalog.storeRecovered(now)
     })
-    this._registration = new Registration({ roster, fleetSize: this._fleetSize, roles, outbox, random })
+    this._registration = new Registration({ roster, roles, outbox, random })
     this._joining = new Joining({ roster, seeds, outbox, random, isFirstStart: options.isFirstStart })
     const holds = new ServerHolds({ catalog, random })
     this.holds = holds
@@ -186,8 +185,6 @@
       roster,
       roles,
       outbox,
-      fleetSize: this._fleetSize,
-      isFirstStart: options.isFirstStart ?? false,
       isOnlySeed: seeds.every(({ host, port }) => host === identity.host && port === identity.peerPort)
     })
     const cellSelector = new CellSelector({ cells, roster, random })
@@ -386,7 +383,7 @@
   /** Handles the entries that the store names: those that ran before this one started, or those that a leader has registered. */
   private _entriesFound (book: AddressBook, now: number): void {
     const { isLeader } = this._registration
-    this._fleetSize.report({ count: book.fleetCount ?? book.entryCount, ageMs: 0 }, now)
+    this.roster.fleet.report({ count: book.fleetCount ?? book.entryCount, ageMs: 0 }, now)
     if (isLeader) this._registration.check(book, now)
     else if (book.entryCount > 0) this._expectEntries(book.entryCount, now)
     if (!isLeader || !this._registration.namesSelf(book)) this._joining.entriesFound(book.addresses)
--- a/packages/core/src/members/fleetSize.ts
+++ b/packages/core/src/members/fleetSize.ts
@@ -19,26 +19,36 @@
   private readonly _lastAliveAt = new Map<string, number>()
   private _reported = { count: 0, at: -Infinity }
   private _nextCheckAt = -Infinity
+  private _isInformed: boolean
+
+  constructor (isFirstStart: boolean) {
+    this._isInformed = isFirstStart
+  }
 
   /** Number of entries that may be running; 0 if nothing is known. */
   countAt (now: number): number {
     return Math.max(this._lastAliveAt.size, this._reportedAt(now))
   }
 
-  /** What this entry reports to others. */
-  statementAt (now: number): FleetCount {
+  /** What this entry reports to others; undefined while it does not know of those that it has not met. */
+  statementAt (now: number): FleetCount | undefined {
+    if (!this._isInformed) return undefined
     const reported = this._reportedAt(now)
     if (reported <= this._lastAliveAt.size) return { count: this._lastAliveAt.size, ageMs: 0 }
-    return { count: reported, ageMs: now - this._reported.at }
+    return { count: reported, ageMs: Math.round(now - this._reported.at) }
   }
 
-  /** Whether another entry or the store has said how many there are, so that those that this entry has not met are counted too. */
-  get hasReport (): boolean {
-    return this._reported.at > -Infinity
+  /**
+   * Whether the store, or another entry that is informed, has reported a number, so that entries that this one has not met are counted. At
+   * the first start of the whole cluster there are none before.
+   */
+  get isInformed (): boolean {
+    return this._isInformed
   }
 
   /** Records what another entry or the store reports. */
   report ({ count, ageMs }: FleetCount, now: number): void {
+    this._isInformed = true
     const at = now - ageMs
     if (ageMs >= RETENTION_MS || count < this._reportedAt(now)) return
     this._reported = { count, at: count === this._reported.count ? Math.max(at, this._reported.at) : at }
--- a/packages/core/src/members/peerMessages.ts
+++ b/packages/core/src/members/peerMessages.ts
@@ -4,6 +4,7 @@
 import type { StatedLimit } from '../placement/serverLimits.js'
 import type { RouteCounts } from '../rollouts/answerCounts.js'
 import type { StoredRow, TableName } from '../store/row.js'
+import type { FleetCount } from './fleetSize.js'
 import type { MemberUpdate } from './member.js'
 
 /** Checks whether a member is reachable. */
@@ -29,6 +30,8 @@
   groups?: number[]
   /** The instance that answered; present if another instance pinged it on behalf of the receiver. */
   target?: string
+  /** Number of entries that may be running, if the sender knows it. */
+  fleet?: FleetCount
 }
 
 /** Membership updates that are sent at once instead of with the next ping. */
@@ -245,9 +248,6 @@
   expiresAt: number
   /** Whether the reserve is needed, because the holder of the parts does not answer. */
   reserve: boolean
-  /** Number of entries that may be running, as the sender knows it, and the age of that knowledge. */
-  count: number
-  countAgeMs: number
 }
 
 /** Lends a part, or says who has it. */
@@ -267,8 +267,6 @@
   holder?: string
   /** How long it is lent to the other entry. */
   heldMs?: number
-  count: number
-  countAgeMs: number
 }
 
 /** Gives a part back before the end of the loan. */
--- a/packages/core/src/members/registration.ts
+++ b/packages/core/src/members/registration.ts
@@ -2,14 +2,12 @@
 import type { Outbox } from '../effects.js'
 import type { Random } from '../random.js'
 import { isOutdated, newAddressBook, type AddressBook } from './addressBook.js'
-import type { FleetSize } from './fleetSize.js'
 import type { Roles } from './roles.js'
 import type { Roster } from './roster.js'
 
 /** Dependencies of a registration. */
 export interface RegistrationOptions {
   roster: Roster
-  fleetSize: FleetSize
   roles: Roles
   outbox: Outbox
   random: Random
@@ -64,12 +62,12 @@
    * called on the leader.
    */
   check (book: AddressBook, now: number): void {
-    const { roster, fleetSize } = this._options
-    if (!this.namesSelf(book) || isOutdated(book, roster) || book.fleetCount !== fleetSize.countAt(now)) this._register(now)
+    const { roster } = this._options
+    if (!this.namesSelf(book) || isOutdated(book, roster) || book.fleetCount !== roster.fleet.countAt(now)) this._register(now)
   }
 
   private _register (now: number): void {
-    const { outbox, roster, fleetSize, random } = this._options
-    outbox.put({ kind: 'register-entries', book: newAddressBook(roster, fleetSize.countAt(now), random) })
+    const { outbox, roster, random } = this._options
+    outbox.put({ kind: 'register-entries', book: newAddressBook(roster, roster.fleet.countAt(now), random) })
   }
 }
--- a/packages/core/src/members/roster.ts
+++ b/packages/core/src/members/roster.ts
@@ -3,6 +3,7 @@
 import { draw, type Random } from '../random.js'
 import { ExpectedEntries } from './expectedEntries.js'
 import { FailureDetector } from './failureDetector.js'
+import { FleetSize } from './fleetSize.js'
 import { ListRepair, MAX_UPDATES_PER_MESSAGE } from './listRepair.js'
 import { MAX_DIRECT_PEERS, type Member, type MemberUpdate, type Standing } from './member.js'
 import { MemberTable, effectiveStandingOf, type MemberRecord } from './memberTable.js'
@@ -12,6 +13,8 @@
 /** Dependencies of a roster. */
 export interface RosterOptions {
   self: Member
+  /** Whether the whole cluster starts for the first time; false by default. */
+  isFirstStart?: boolean
   random: Random
   send: (to: Member, message: PeerMessage) => void
   /** Called after any change of the member list. */
@@ -43,12 +46,13 @@
 export class Roster {
   /** The entries that are expected to start at the same time as this one. */
   readonly expected = new ExpectedEntries()
+  /** The entries among which limits are divided. */
+  readonly fleet: FleetSize
   private readonly _options: RosterOptions
   private readonly _table: MemberTable
   private readonly _detector: FailureDetector
   private readonly _pendingUpdates = new PendingUpdates()
   private readonly _repair: ListRepair
-  private _peakAliveCount = 1
   private _nextExpiryAt = 0
   private readonly _forwardBudget = new TokenBucket(MAX_FORWARDS_PER_SECOND, MAX_FORWARDS_PER_SECOND, 0)
 
@@ -56,6 +60,7 @@
     this._options = options
     const { self, random, send } = options
     this._table = new MemberTable(self)
+    this.fleet = new FleetSize(options.isFirstStart ?? false)
     this._repair = new ListRepair({ table: this._table, send })
     this._detector = new FailureDetector({
       table: this._table,
@@ -89,9 +94,9 @@
     return this.alive.length - 1 > MAX_DIRECT_PEERS
   }
 
-  /** The highest number of members that were alive at the same time, or that this entry expects after its start. */
-  get most (): number {
-    return Math.max(this._peakAliveCount, this.expected.count)
+  /** Number of entries that may be running, or that this entry expects after its start. */
+  mostAt (now: number): number {
+    return Math.max(this.alive.length, this.fleet.countAt(now), this.expected.count)
   }
 
   /** Time at which the next periodic work is due. */
@@ -166,12 +171,14 @@
       sequence: ping.sequence,
       digest: digest.checksum,
       news: this._updatesFor(from.instance),
-      groups: differs ? [...digest.groups] : undefined
+      groups: differs ? [...digest.groups] : undefined,
+      fleet: this.fleet.statementAt(now)
     })
   }
 
   private _handlePingAnswer (from: Member, answer: PingAnswer, now: number): void {
     this._detector.answered(from.instance, answer, now)
+    if (answer.fleet) this.fleet.report(answer.fleet, now)
     if (answer.groups && this._repair.compare(from, answer.groups, now)) this._detector.pingFaster(now, DIFFERENCE_FAST_PING_DURATION_MS)
   }
 
@@ -187,6 +194,7 @@
   tick (now: number): void {
     this._detector.tick(now)
     this.expected.tick(now)
+    this.fleet.tick(this.alive, now)
     if (now < this._nextExpiryAt) return
     this._nextExpiryAt = now + EXPIRY_INTERVAL_MS
     this._expireMembers(now)
@@ -240,7 +248,6 @@
   }
 
   private _changed (): void {
-    this._peakAliveCount = Math.max(this._peakAliveCount, this.alive.length)
     this._options.changed()
   }
 
--- a/packages/core/src/placement/scheduler.ts
+++ b/packages/core/src/placement/scheduler.ts
@@ -32,8 +32,10 @@
   service: string
   retry: RetryTolerance
   cold: () => ColdTolerance
-  /** Fraction of the limits over all entries that this scheduler may use, between 0 and 1. */
+  /** Fraction of the cold tolerance that this scheduler may use, between 0 and 1. */
   share: () => number
+  /** The same for the slack of the retry budget. */
+  retryShare: (now: number) => number
   listener: SchedulerListener
   /** Limits that servers have stated; none by default. */
   limitedRates?: LimitedRates
@@ -142,7 +144,7 @@
     if (request.purpose === 'first') this._retryBudget.request(now)
     if (request.purpose === 'first' || request.purpose === 'diverted') {
       if (request.targetAt > now) this._arrivals.add(now)
-    } else if (usesRetryBudget(request.purpose) && !this._retryBudget.allows(this._options.share(), now)) {
+    } else if (usesRetryBudget(request.purpose) && !this._retryBudget.allows(this._options.retryShare(now), now)) {
       return this._refuse(request, 'budget', now)
     }
     this._typicalWorkMs += TYPICAL_WORK_SMOOTHING_RATIO * (this.work.baseMs(route, targetMs) - this._typicalWorkMs)
--- a/packages/core/src/placement/schedulerShares.ts
+++ b/packages/core/src/placement/schedulerShares.ts
@@ -11,6 +11,10 @@
 const SHARING_SCHEDULER_COUNT = 2
 /** Three schedulers of one cell, which can exist while entries disagree on the members, still stay within the limits together. */
 const SCHEDULER_SHARE = 0.33
+/** Time in which the requests to a cold server are counted. */
+const COLD_WINDOW_MS = 1000
+/** Two schedulers that know what they have sent and three new ones stay within the limits together. */
+const NEW_SCHEDULER_COLD_SHARE = 0.1
 /** Shares of the limits that servers state: the first scheduler of a cell, the second one, and all other entries together. */
 const FIRST_SCHEDULER_LIMIT_SHARE = 0.9
 const SECOND_SCHEDULER_LIMIT_SHARE = 0.25
@@ -22,7 +26,8 @@
 
 export class SchedulerShares {
   private readonly _options: SchedulerSharesOptions
-  /** Since when this entry has been the first scheduler of a cell without interruption. */
+  /** Since when this entry has had a scheduler of a cell without interruption, and since when that has been the first one. */
+  private readonly _since = new Map<string, number>()
   private readonly _firstSince = new Map<string, number>()
   private _tickedAt = -Infinity
 
@@ -30,36 +35,58 @@
     this._options = options
   }
 
-  /** Share of the retry budget and the cold tolerance; a fraction that keeps the sum of all within the limits for most entries. */
-  of (cell: string): number {
-    if (this._rankIn(cell) < SHARING_SCHEDULER_COUNT) return SCHEDULER_SHARE
-    return Math.min(SCHEDULER_SHARE, 1 / (2 * this._options.roster.most))
+  /**
+   * Share of what retries may use beside their fraction of the requests. A scheduler that has counted for less than `windowMs`, the window
+   * of the budget, uses nothing of it: its predecessors may have used everything, however many there were.
+   */
+  ofRetries (cell: string, windowMs: number, now: number): number {
+    return this._countsFor(cell, now) >= windowMs ? this._share(cell, now) : 0
+  }
+
+  /** Share of what cold servers may get. A scheduler that does not know what its predecessors have sent may send a request or so. */
+  ofCold (cell: string, now: number): number {
+    const share = this._share(cell, now)
+    return this._countsFor(cell, now) >= COLD_WINDOW_MS ? share : Math.min(share, NEW_SCHEDULER_COLD_SHARE)
   }
 
   /** Share of the limits that servers state. */
   ofLimits (cell: string, now: number): number {
-    const rank = this._rankIn(cell)
-    if (rank >= SHARING_SCHEDULER_COUNT) return OTHER_ENTRIES_LIMIT_SHARE / this._options.roster.most
+    const rank = this._rankIn(cell, now)
+    if (rank >= SHARING_SCHEDULER_COUNT) return OTHER_ENTRIES_LIMIT_SHARE / this._options.roster.mostAt(now)
     const since = this._firstSince.get(cell) ?? now
     return rank === 0 && now - since >= PREDECESSOR_PERIOD_MS ? FIRST_SCHEDULER_LIMIT_SHARE : SECOND_SCHEDULER_LIMIT_SHARE
   }
 
-  /** Updates which of the cells with a scheduler at this entry it is the first scheduler of. */
+  /** Updates the cells with a scheduler at this entry, and which of them it is the first scheduler of. */
   tick (cells: Iterable<string>, now: number): void {
-    if (now - this._tickedAt > MAX_TICK_GAP_MS) this._firstSince.clear()
+    const wasPaused = now - this._tickedAt > MAX_TICK_GAP_MS
     this._tickedAt = now
     const hosted = new Set(cells)
-    for (const cell of this._firstSince.keys()) if (!hosted.has(cell)) this._firstSince.delete(cell)
+    for (const times of [this._since, this._firstSince]) {
+      for (const cell of times.keys()) if (wasPaused || !hosted.has(cell)) times.delete(cell)
+    }
     for (const cell of hosted) {
-      if (this._rankIn(cell) > 0) this._firstSince.delete(cell)
+      if (!this._since.has(cell)) this._since.set(cell, now)
+      if (this._rankIn(cell, now) > 0) this._firstSince.delete(cell)
       else if (!this._firstSince.has(cell)) this._firstSince.set(cell, now)
     }
   }
 
+  /** How long this entry has had a scheduler of a cell. */
+  private _countsFor (cell: string, now: number): number {
+    return now - (this._since.get(cell) ?? now)
+  }
+
+  /** A fraction that keeps the sum over all entries within a limit for most entries. */
+  private _share (cell: string, now: number): number {
+    if (this._rankIn(cell, now) < SHARING_SCHEDULER_COUNT) return SCHEDULER_SHARE
+    return Math.min(SCHEDULER_SHARE, 1 / (2 * this._options.roster.mostAt(now)))
+  }
+
   /** Position of this entry among the schedulers of a cell; infinite if it is none of them or does not see a majority of the entries. */
-  private _rankIn (cell: string): number {
+  private _rankIn (cell: string, now: number): number {
     const { roster, roles } = this._options
     const rank = roles.schedulersOf(cell).findIndex(({ instance }) => instance === roster.self.instance)
-    return rank < 0 || roster.alive.length * 2 <= roster.most ? Infinity : rank
+    return rank < 0 || roster.alive.length * 2 <= roster.mostAt(now) ? Infinity : rank
   }
 }
--- a/packages/entry/src/peers/datagramCodec.ts
+++ b/packages/entry/src/peers/datagramCodec.ts
@@ -21,7 +21,9 @@
 /** Fields of each message kind in wire order. The order must not change, since entries of different versions exchange messages. */
 const FIELDS: Record<Kind, ReadonlyArray<readonly [name: string, type: FieldType]>> = {
   ping: [['sequence', 'number'], ['digest', 'number'], ['news', 'news'], ['target', 'string?'], ['entryCount', 'number?']],
-  'ping-answer': [['sequence', 'number'], ['digest', 'number'], ['news', 'news'], ['groups', 'numbers?'], ['target', 'string?']],
+  'ping-answer': [
+    ['sequence', 'number'], ['digest', 'number'], ['news', 'news'], ['groups', 'numbers?'], ['target', 'string?'], ['fleet', 'fleet?']
+  ],
   gossip: [['news', 'news']],
   compare: [['groups', 'numbers'], ['keys', 'numbers'], ['states', 'numbers']],
   want: [['keys', 'numbers']],
@@ -47,12 +49,10 @@
   'quota-ask': [['ask', 'number'], ['customer', 'string'], ['hops', 'number?']],
   'quota-answer': [['ask', 'number'], ['retryAfterMs', 'number?'], ['holder', 'string?']],
   'quota-refund': [['customer', 'string'], ['ageMs', 'number?']],
-  'quota-collect': [
-    ['group', 'number'], ['leaseMs', 'number'], ['expiresAt', 'number'], ['reserve', 'flag'], ['count', 'number'], ['countAgeMs', 'number']
-  ],
+  'quota-collect': [['group', 'number'], ['leaseMs', 'number'], ['expiresAt', 'number'], ['reserve', 'flag']],
   'quota-lend': [
     ['group', 'number'], ['incarnation', 'number'], ['expiresAt', 'number'], ['share', 'number'], ['restedMs', 'number'],
-    ['reserve', 'flag?'], ['holder', 'string?'], ['heldMs', 'number?'], ['count', 'number'], ['countAgeMs', 'number']
+    ['reserve', 'flag?'], ['holder', 'string?'], ['heldMs', 'number?']
   ],
   'quota-return': [['group', 'number']],
   'quota-claim': [['group', 'number'], ['claimedAt', 'number']],
--- a/packages/entry/src/peers/fieldSchemas.ts
+++ b/packages/entry/src/peers/fieldSchemas.ts
@@ -34,6 +34,7 @@
     server: z.string(), incarnation: z.string(), perSecond: z.number().min(0), ageMs: z.number().min(0)
   })),
   flag: z.boolean(),
+  fleet: z.object({ count: countSchema, ageMs: countSchema }),
   answers: z.array(z.object({
     route: z.string(), former: answerCountSchema, target: z.array(answerCountSchema.extend({ server: z.string() }))
   }))
