Bound what is read before the head of an answer is complete

A server that sent empty lines or interim answers without end was read at full speed until the deadline: over 128 MB in seven requests of 0.4 s. The bytes were not kept, so no process ran out of memory. The connection is now closed after 64 KiB without the head of an answer.

oddAnswers.spec 'should not be read on without end (empty lines)' failed before: 128,057,344 bytes, 64,000,000 allowed. What held, and has tests now: other heads without end; bodies, chunk sizes, chunk extensions and trailers without end are not read beyond the deadline, nor kept.

--- a/packages/entry/src/backend/backendClient.ts
+++ b/packages/entry/src/backend/backendClient.ts
@@ -47,6 +47,8 @@
 /** Statuses of final answers. Node's parser accepts any number of up to three digits. */
 const MIN_STATUS = 200
 const MAX_STATUS = 599
+/** Most bytes read before an answer's head is complete, interim answers and empty lines included. */
+const MAX_HEAD_BYTES = 65_536
 /** Statuses that a caller takes as a guarantee that its request did not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
 
@@ -86,6 +88,7 @@
     })
     this._calls.set(effect.attempt, call)
     const connection = trackConnection(call, this._options.connectMs)
+    limitHead(call)
     countBytes(call, (bytes) => this._options.onExchanged?.(effect.server, bytes))
     call.on('response', (message) => {
       answer = message
@@ -259,6 +262,18 @@
   return { established: () => made }
 }
 
+/** Closes the connection of a call if too much is received before the head of an answer is complete. */
+function limitHead (call: ClientRequest): void {
+  call.once('socket', (socket) => {
+    const before = socket.bytesRead
+    const check = (): void => {
+      if (socket.bytesRead - before > MAX_HEAD_BYTES) call.destroy(new Error('the head of the answer is too long'))
+    }
+    socket.on('data', check)
+    for (const event of ['response', 'close']) call.once(event, () => socket.off('data', check))
+  })
+}
+
 /** Counts what a call sends and receives on its connection, which earlier calls may have used. */
 function countBytes (call: ClientRequest, done: (bytes: number) => void): void {
   call.once('socket', (socket) => {
--- a/tests/oddAnswers.spec.ts
+++ b/tests/oddAnswers.spec.ts
@@ -8,6 +8,8 @@
 
 const UPLOAD_BYTES = 1_500_000
 const DEADLINE_MS = 400
+/** Far below the memory of an instance. */
+const MAX_READ_BYTES = 64_000_000
 const BODY = '{"whole":true}'
 
 /** Every kind of request: read, repeatable order, order, each without a body, with a long one, and with a long one in chunks. */
@@ -19,6 +21,7 @@
 describe('odd answer', () => {
   let deployment: Deployment
   let server: Server
+  let sentBytes: number
   let runs: Map<string, number>
   let act: (arrival: Arrival) => void
   const sockets = new Set<Socket>()
@@ -28,6 +31,7 @@
     `HTTP/1.1 200 OK\r\n${REQUEST_ID}: ${id}\r\n${extra}Content-Length: ${BODY.length}\r\n\r\n${BODY}`
 
   beforeEach(async () => {
+    sentBytes = 0
     runs = new Map()
     server = createServer({ allowHalfOpen: true }, serve)
     await new Promise<void>((resolve) => server.listen(0, HOST, resolve))
@@ -74,6 +78,17 @@
     })
   }
 
+  /** Sends bytes until the other side closes the connection. */
+  function pour (socket: Socket, part: string): void {
+    const more = (): void => {
+      if (socket.destroyed || sentBytes > 2 * MAX_READ_BYTES) return
+      sentBytes += part.length
+      if (socket.write(part, 'latin1')) setImmediate(more)
+      else socket.once('drain', more)
+    }
+    more()
+  }
+
   /** Sends a request and returns the status that the caller got, and whether the answer was whole. */
   async function call (id: string, { method, upload }: { method: string, upload: string }): Promise<{ status: number, isWhole: boolean }> {
     const length = upload === 'chunked' ? 'Transfer-Encoding: chunked' : `Content-Length: ${upload === 'long' ? UPLOAD_BYTES : 0}`
@@ -166,6 +181,54 @@
       })
     }
   }
+
+  const endlessHeads: Record<string, (id: string) => [string, string]> = {
+    'bytes that are no HTTP': () => ['', 'x'.repeat(65_536)],
+    'empty lines': () => ['', '\r\n'.repeat(32_768)],
+    'a status line': () => ['HTTP/1.1 200 ', 'x'.repeat(65_536)],
+    'a header name': (id) => [`HTTP/1.1 200 OK\r\n${REQUEST_ID}: ${id}\r\n`, 'x'.repeat(65_536)],
+    'a header value': (id) => [`HTTP/1.1 200 OK\r\n${REQUEST_ID}: ${id}\r\nA: `, 'x'.repeat(65_536)],
+    headers: (id) => [`HTTP/1.1 200 OK\r\n${REQUEST_ID}: ${id}\r\n`, 'A: b\r\n'.repeat(10_000)],
+    'interim answers': () => ['', 'HTTP/1.1 102 Processing\r\nA: b\r\n\r\n'.repeat(2000)]
+  }
+  for (const [what, linesOf] of Object.entries(endlessHeads)) {
+    // Guards against a process that reads such bytes until its memory is used up, and ends with the requests of other callers.
+    it(`should not be read on without end (${what})`, async () => {
+      act = ({ socket, id }) => {
+        const [first, rest] = linesOf(id)
+        socket.write(first)
+        pour(socket, rest)
+      }
+      await expectNoSuccess()
+      expect(sentBytes).to.be.below(MAX_READ_BYTES)
+      await expectNextServed()
+    })
+  }
+
+  const chunked = (id: string): string => `HTTP/1.1 200 OK\r\n${REQUEST_ID}: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n`
+  const endlessBodies: Record<string, (id: string) => [string, string]> = {
+    'a body without a length': (id) => [`HTTP/1.1 200 OK\r\n${REQUEST_ID}: ${id}\r\n\r\n`, 'x'.repeat(65_536)],
+    'a body in chunks': (id) => [chunked(id), `ffff\r\n${'x'.repeat(65_535)}\r\n`],
+    'a chunk size': (id) => [chunked(id), '0'.repeat(65_536)],
+    'a chunk extension': (id) => [`${chunked(id)}1;`, 'x'.repeat(65_536)],
+    trailers: (id) => [`${chunked(id)}0\r\n`, 'A: b\r\n'.repeat(10_000)],
+    'the body of a failure': (id) => [`HTTP/1.1 500 X\r\n${REQUEST_ID}: ${id}\r\n\r\n`, 'x'.repeat(65_536)]
+  }
+  for (const [what, linesOf] of Object.entries(endlessBodies)) {
+    // What has come of a body is passed on. Guards against reading on beyond the deadline, and against keeping what was read.
+    it(`should not be read on beyond the deadline, nor kept (${what})`, async () => {
+      act = ({ socket, id }) => {
+        const [first, rest] = linesOf(id)
+        socket.write(first)
+        pour(socket, rest)
+      }
+      const before = process.memoryUsage().arrayBuffers
+      await expectNoSuccess()
+      await waitUntil(() => deployment.entries[0]!.node.core.requests.open === 0)
+      expect(process.memoryUsage().arrayBuffers - before).to.be.below(MAX_READ_BYTES)
+      await expectNextServed()
+    })
+  }
 })
 
 /** Whether a text is an answer that is whole as its head says. */
