Take an answer without an id only as the first one on its connection

A caller got a success that belonged to another request: a server sent a second answer, without the id of its request, 20 ms after the first one on a kept connection, where the answer to the next request was due. Only the default dialect accepts answers without an id; the users' platform requires one. Such an answer now counts only on a new connection, which is then not used again.

oddAnswers.spec 'should not answer the next request on its connection with what follows it (a second answer without an id, 20 ms later)' failed before: request 2 got 200 and had not run. The other five kinds of bytes behind an answer held, at once and 20 ms later.

--- a/packages/entry/src/backend/backendClient.ts
+++ b/packages/entry/src/backend/backendClient.ts
@@ -166,13 +166,16 @@
 
   /**
    * Whether an answer belongs to this request. A late or repeated answer to an earlier request carries the id of that request. A refusal
-   * without an id counts only as the first answer on its connection: on a reused one, it may be a repetition of an earlier refusal.
+   * without an id counts only as the first answer on its connection: on a reused one, it may be a repetition of an earlier refusal. The
+   * same holds for other answers without an id where the dialect requires none. Their connection is not used again.
    */
   private _namesRequest (message: IncomingMessage, call: ClientRequest, { requestId }: Exchange, isRefusal: boolean): boolean {
     const { headers, requiresSignature } = this._options.dialect
     const named = singleHeader(message.headers, headers.requestId)
     if (named !== undefined) return named === requestId
-    return isRefusal ? !call.reusedSocket : !requiresSignature
+    if (requiresSignature && !isRefusal) return false
+    call.shouldKeepAlive = false
+    return !call.reusedSocket
   }
 
   /**
--- a/tests/oddAnswers.spec.ts
+++ b/tests/oddAnswers.spec.ts
@@ -229,6 +229,33 @@
       await expectNextServed()
     })
   }
+
+  const followers: Record<string, (id: string) => string> = {
+    'a second whole answer': (id) => whole(id),
+    'a second answer without an id': () => `HTTP/1.1 200 OK\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`,
+    'a refusal without an id': () => 'HTTP/1.1 503 X\r\ngooseberryspan-not-run: 1\r\nContent-Length: 0\r\n\r\n',
+    'a status of 000': (id) => whole(id).replace('200 OK', '000 X'),
+    'half a head': () => 'HTTP/1.1 200 OK\r\nContent-Le',
+    'bytes that are no HTTP': () => 'xxxx'
+  }
+  for (const [what, followerOf] of Object.entries(followers)) {
+    for (const delayMs of [0, 20]) {
+      // Guards against bytes behind an answer that are taken for the answer to the next request on a kept connection.
+      it(`should not answer the next request on its connection with what follows it (${what}, ${delayMs} ms later)`, async () => {
+        act = ({ socket, id }) => {
+          socket.write(delayMs === 0 ? whole(id) + followerOf(id) : whole(id))
+          if (delayMs > 0) setTimeout(() => socket.write(followerOf(id)), delayMs)
+        }
+        for (let index = 0; index < 12; index++) {
+          const request = REQUESTS[index % 2 === 0 ? 0 : 1]!
+          const { status, isWhole } = await call(`k${index}`, request)
+          expect(isWhole && status === 200 ? runs.get(`k${index}`) ?? 0 : 1, `request ${index}`).to.be.above(0)
+          await new Promise((resolve) => setTimeout(resolve, index % 3 * 15))
+        }
+        await expectNextServed()
+      })
+    }
+  }
 })
 
 /** Whether a text is an answer that is whole as its head says. */
