Decide on overtaken loans and returns of quotas by the holder's clock

Messages that overtake each other let two holders use the same part for up to 0.7 s: an answer that arrives after its part was given back, and a return that a later loan has overtaken. Both messages now carry the end of the loan on the holder's clock, and a handover is used for 200 ms; at most 1 is lent.

A question that a holder without any part got from another one is left to that one; a question of an entry itself is refused. Each of up to three entries has a third of the slack of retries, also right after a start.

--- a/packages/core/src/customers/quotaHolder.ts
+++ b/packages/core/src/customers/quotaHolder.ts
@@ -22,6 +22,9 @@
   activeUntil: number
   /** When each entry is asked for its part again. */
   collectAt: Map<string, number>
+  /** The latest end of a loan that was asked for, and of those that were given back. */
+  requestedUntil: number
+  returnedUntil: number
   /** Questions wait until this time for the answers to the first messages. */
   collectingUntil: number
   reserveUntil: number
@@ -63,6 +66,8 @@
       pool: new QuotaPool(),
       activeUntil: -Infinity,
       collectAt: new Map(),
+      requestedUntil: -Infinity,
+      returnedUntil: -Infinity,
       collectingUntil: -Infinity,
       reserveUntil: -Infinity,
       otherHolder: undefined,
@@ -77,9 +82,9 @@
     return this._groups.reduce((sum, { pool }) => sum + pool.customerCount, 0)
   }
 
-  /** Whether parts of a customer's quota are lent to this entry. */
-  hasPart (customer: string, now: number): boolean {
-    return this._groups[quotaGroupOf(customer)]!.pool.shareAt(now) > 0
+  /** The part of a customer's quota that is lent to this entry. */
+  shareOf (customer: string, now: number): number {
+    return this._groups[quotaGroupOf(customer)]!.pool.shareAt(now)
   }
 
   /** Entries that may count a customer's requests, the preferred one first. */
@@ -123,8 +128,8 @@
   /** The holder that probably has a larger part of a customer's quota than this entry. */
   largerHolder (customer: string, now: number): string | undefined {
     const number = quotaGroupOf(customer)
-    const { pool, otherHolder } = this._groups[number]!
-    if (pool.shareAt(now) >= PASSING_SHARE) return undefined
+    const { pool, otherHolder, handedOverToAt } = this._groups[number]!
+    if (pool.shareAt(now) >= PASSING_SHARE || now - handedOverToAt < HANDOVER_TIMEOUT_MS) return undefined
     const { instance } = this._options.roster.self
     if (otherHolder && now - otherHolder.at < 2 * this._options.lender.intervalMs(now)) return otherHolder.instance
     const [first] = this._candidates.of(number)
@@ -144,12 +149,12 @@
 
   /** Handles a request for this entry's part. */
   collected (from: Member, message: QuotaCollectMessage, now: number): void {
-    const { group: number, leaseMs, expiresAt, reserve } = message
+    const { group: number, expiresAt, reserve } = message
     const { lender, outbox } = this._options
     if (!this._groups[number]) return
     const answer = { kind: 'quota-lend' as const, group: number, incarnation: from.incarnation, expiresAt }
     if (!this._isActive(number, now)) this._returnOwn(number, now)
-    const lending = lender.lend(number, from, leaseMs, now)
+    const lending = lender.lend(number, from, message, now)
     if (!lending) return outbox.send(from, { ...answer, share: 0, restedMs: 0 })
     const lendsReserve = lender.takeReserve(number, reserve, now)
     const share = lender.shareAt(now)
@@ -173,13 +178,14 @@
       return
     }
     group.collectAt.set(from.instance, now + this._options.lender.intervalMs(now))
-    const isValid = share > 0 && share <= 1 && expiresAt > now && expiresAt <= now + this._options.lender.leaseMs(now)
+    // The answer to a request that was sent before the parts were given back is of no use.
+    const isValid = share > 0 && share <= 1 && expiresAt > now && expiresAt > group.returnedUntil && expiresAt <= group.requestedUntil
     if (isValid) group.pool.lent(from.instance, { share, restedMs: Math.max(0, restedMs), expiresAt }, now)
   }
 
   /** Handles the early end of a loan of this entry's part. */
-  returned (from: Member, { group }: QuotaReturnMessage, now: number): void {
-    this._options.lender.returned(group, from, now)
+  returned (from: Member, { group, expiresAt }: QuotaReturnMessage, now: number): void {
+    this._options.lender.returned(group, from, expiresAt, now)
   }
 
   /** Hands over to a holder that is preferred to this one. */
@@ -210,7 +216,8 @@
     if (!group || isLate || incarnation !== this._options.roster.self.incarnation) return
     group.otherHolder = undefined
     group.handedOverToAt = now
-    group.pool.takeOver({ share, idleMs, levels: new Map(customers.map((name, index) => [name, Math.max(0, tokens[index] ?? 0)])) })
+    group.collectingUntil = now + COLLECTING_MS
+    group.pool.takeOver({ share, idleMs, levels: new Map(customers.map((name, index) => [name, Math.max(0, tokens[index] ?? 0)])) }, now)
     group.collectAt.clear()
     this._collect(number, now)
   }
@@ -234,30 +241,33 @@
     const self = roster.self.instance
     const [intervalMs, leaseMs] = [lender.intervalMs(now), lender.leaseMs(now)]
     const reserve = now < group.reserveUntil
+    const expiresAt = now + leaseMs
+    group.requestedUntil = Math.max(group.requestedUntil, expiresAt)
     if (!group.pool.hasLoan(self, now + intervalMs)) this._collectOwn(number, now)
     for (const member of roster.alive) {
       if (member.instance === self || now < (group.collectAt.get(member.instance) ?? -Infinity)) continue
       group.collectAt.set(member.instance, now + (group.pool.hasLoan(member.instance, now) ? intervalMs : RETRY_MS))
-      outbox.send(member, { kind: 'quota-collect', group: number, leaseMs, expiresAt: now + leaseMs, reserve })
+      outbox.send(member, { kind: 'quota-collect', group: number, leaseMs, expiresAt, reserve })
     }
   }
 
   private _collectOwn (number: number, now: number): void {
     const { lender, roster } = this._options
     const { pool, reserveUntil } = this._groups[number]!
-    const lending = lender.lend(number, roster.self, lender.leaseMs(now), now)
+    const leaseMs = lender.leaseMs(now)
+    const expiresAt = now + leaseMs
+    const lending = lender.lend(number, roster.self, { leaseMs, expiresAt }, now)
     if (!lending) return
     const share = lender.shareAt(now)
     if (lender.takeReserve(number, now < reserveUntil, now)) pool.reserveLent(share, now)
-    if (lending.kind === 'held') return
-    pool.lent(roster.self.instance, { share, restedMs: lending.restedMs, expiresAt: now + lender.leaseMs(now) }, now)
+    if (lending.kind === 'lent') pool.lent(roster.self.instance, { share, restedMs: lending.restedMs, expiresAt }, now)
   }
 
   /** Takes this entry's part back from itself, so that it can be lent. */
   private _returnOwn (number: number, now: number): void {
     const { lender, roster } = this._options
     this._groups[number]!.pool.withdrawn(roster.self.instance, now)
-    lender.returned(number, roster.self, now)
+    lender.returned(number, roster.self, Infinity, now)
   }
 
   /** Asks another holder to hand over if this entry is the first candidate. */
@@ -277,11 +287,13 @@
   private _release (number: number, now: number): Handover {
     const group = this._groups[number]!
     const { roster, outbox } = this._options
+    const expiresAt = group.requestedUntil
+    group.returnedUntil = expiresAt
     for (const lender of group.pool.lenders) {
       const member = roster.get(lender)
-      if (member && lender !== roster.self.instance) outbox.send(member, { kind: 'quota-return', group: number })
+      if (member && lender !== roster.self.instance) outbox.send(member, { kind: 'quota-return', group: number, expiresAt })
     }
-    this._options.lender.returned(number, roster.self, now)
+    this._options.lender.returned(number, roster.self, Infinity, now)
     group.activeUntil = -Infinity
     group.collectAt.clear()
     return group.pool.handOver(now)
--- a/packages/core/src/customers/quotaLender.ts
+++ b/packages/core/src/customers/quotaLender.ts
@@ -1,7 +1,7 @@
 /** Lends this entry's part of the quotas to the holders that count for the groups of customers. */
 import type { Roster } from '../members/roster.js'
 import { QUOTA_GROUPS } from './quotaCandidates.js'
-import { QuotaSlice, type Holder, type Lending } from './quotaSlice.js'
+import { MAX_LEASE_MS, QuotaSlice, type Holder, type Lending } from './quotaSlice.js'
 
 export interface QuotaLenderOptions {
   roster: Roster
@@ -44,7 +44,7 @@
 
   /** How long a part is lent. */
   leaseMs (now: number): number {
-    return LEASE_INTERVALS * this.intervalMs(now) + LEASE_MARGIN_MS
+    return Math.min(MAX_LEASE_MS, LEASE_INTERVALS * this.intervalMs(now) + LEASE_MARGIN_MS)
   }
 
   /** Whether this entry may be the only one, and is about to learn it from the store. */
@@ -54,8 +54,8 @@
   }
 
   /** Lends the part of a group, or extends the loan. Returns undefined while this entry owns none. */
-  lend (group: number, to: Holder, leaseMs: number, now: number): Lending | undefined {
-    return this._slices[group]?.lend(to, leaseMs, now)
+  lend (group: number, to: Holder, loan: { leaseMs: number, expiresAt: number }, now: number): Lending | undefined {
+    return this._slices[group]?.lend(to, loan.leaseMs, loan.expiresAt, now)
   }
 
   /** Whether the reserve of a group is lent now, if it is needed. */
@@ -65,8 +65,8 @@
   }
 
   /** Ends a loan before its time. */
-  returned (group: number, from: Holder, now: number): void {
-    this._slices[group]?.returned(from, now)
+  returned (group: number, from: Holder, expiresAt: number, now: number): void {
+    this._slices[group]?.returned(from, expiresAt, now)
   }
 
   tick (now: number): void {
--- a/packages/core/src/customers/quotaPool.ts
+++ b/packages/core/src/customers/quotaPool.ts
@@ -25,6 +25,8 @@
 const RESERVE_TOKENS = 5
 /** It also lends what the customer may request in this time, about as long as the part of a holder that has ended stays lent. */
 const RESERVE_S = 0.2
+/** Parts that come later than this after a handover have accumulated requests elsewhere. */
+const HANDOVER_USE_MS = 200
 /** Makes up for rounding errors in the sum of all shares. */
 const ROUNDING = 1e-9
 
@@ -40,6 +42,7 @@
   private _reserve = { share: 0, until: -Infinity }
   private readonly _reserveSpent = new Map<string, number>()
   private _handover: Handover | undefined
+  private _handoverUntil = -Infinity
   /** Fraction of the handover that came with parts so far. */
   private _receivedFraction = 0
 
@@ -73,7 +76,7 @@
       loan.share = share
     } else {
       this._loans.set(lender, { share, restedMs, expiresAt, lentAt: now })
-      const fraction = this._handover ? Math.min(share / this._handover.share, 1 - this._receivedFraction) : 0
+      const fraction = this._handover && now < this._handoverUntil ? Math.min(share / this._handover.share, 1 - this._receivedFraction) : 0
       this._receivedFraction += fraction
       this._buckets.add((customer) => tokensOf(customer, share, restedMs) + fraction * this._handedOver(customer))
     }
@@ -130,10 +133,11 @@
     return handover
   }
 
-  /** Takes over what another holder has given up. It comes with the parts that are lent from now on. */
-  takeOver (handover: Handover): void {
+  /** Takes over what another holder has given up. It comes with the parts that are lent in the next moments. */
+  takeOver (handover: Handover, now: number): void {
     if (handover.share <= 0) return
     this._handover = handover
+    this._handoverUntil = now + HANDOVER_USE_MS
     this._receivedFraction = 0
   }
 
--- a/packages/core/src/customers/quotaSlice.ts
+++ b/packages/core/src/customers/quotaSlice.ts
@@ -13,8 +13,8 @@
   /** Another holder has the part for at most this time. */
   | { kind: 'held', holder: string, forMs: number }
 
-/** A loan is never longer than this, however the holder asks. */
-const MAX_LEASE_MS = 10_000
+/** No loan is longer than this. */
+export const MAX_LEASE_MS = 10_000
 /**
  * Time between two loans of the reserve, and how long a holder uses it. At most two reserves of an entry are used within 5 seconds, the
  * window in which deployments count: twice 5 requests and 0.2 seconds' worth, where they tolerate 20 and 0.5 seconds' worth.
@@ -25,6 +25,8 @@
 export class QuotaSlice {
   private _holder: Holder | undefined
   private _lentUntil = -Infinity
+  /** End of the loan on the holder's clock. */
+  private _expiresAt = -Infinity
   private _freeSince: number
   private _reserveUsedAt: number
 
@@ -34,23 +36,31 @@
     this._reserveUsedAt = startedAt
   }
 
-  /** Lends the part, or extends the loan of the same holder. A new process of the holder's instance proves that the old one has ended. */
-  lend (to: Holder, leaseMs: number, now: number): Lending {
+  /**
+   * Lends the part, or extends the loan of the same holder; `expiresAt` is the end of the loan on the holder's clock. A new process of the
+   * holder's instance proves that the old one has ended.
+   */
+  lend ({ instance, incarnation }: Holder, leaseMs: number, expiresAt: number, now: number): Lending {
     this._expire(now)
     const holder = this._holder
-    if (holder && (holder.instance !== to.instance || holder.incarnation > to.incarnation)) {
+    if (holder && (holder.instance !== instance || holder.incarnation > incarnation)) {
       return { kind: 'held', holder: holder.instance, forMs: this._lentUntil - now }
     }
     const restedMs = this._holder ? 0 : now - this._freeSince
-    this._holder = { ...to }
-    this._lentUntil = now + Math.min(leaseMs, MAX_LEASE_MS)
+    this._expiresAt = holder?.incarnation === incarnation ? Math.max(this._expiresAt, expiresAt) : expiresAt
+    this._holder = { instance, incarnation }
+    this._lentUntil = Math.max(this._lentUntil, now + Math.min(leaseMs, MAX_LEASE_MS))
     return { kind: 'lent', restedMs }
   }
 
-  /** Ends the loan before its time, because the holder uses the part no more. */
-  returned (from: Holder, now: number): void {
+  /**
+   * Ends the loan before its time, because the holder uses no more what ends until `expiresAt` on its clock. A message that a later loan
+   * has overtaken ends nothing.
+   */
+  returned (from: Holder, expiresAt: number, now: number): void {
     this._expire(now)
-    if (this._holder?.instance !== from.instance || this._holder.incarnation !== from.incarnation) return
+    const holder = this._holder
+    if (holder?.instance !== from.instance || holder.incarnation !== from.incarnation || expiresAt < this._expiresAt) return
     this._holder = undefined
     this._freeSince = now
   }
--- a/packages/core/src/customers/quotas.ts
+++ b/packages/core/src/customers/quotas.ts
@@ -42,7 +42,7 @@
   number: number
   customer: string
   /** The entry that asks, with the number of its question; absent if a request of this entry asks. */
-  asker?: { member: Member, ask: number, key: string }
+  asker?: { member: Member, ask: number, key: string, isPassedOn: boolean }
   /** How often it has been passed on so far. */
   hops: number
   stage: Stage
@@ -92,6 +92,11 @@
     return this._holder.candidatesFor(customer)
   }
 
+  /** The part of a customer's quota that this entry counts now, between 0 and 1. */
+  shareOf (customer: string, now: number): number {
+    return this._holder.shareOf(customer, now)
+  }
+
   /** Number of requests that this entry has refused because of a quota. */
   get refusals (): number {
     return this._refusals
@@ -202,14 +207,14 @@
 
   /** Refuses, unless this entry has no part at all: then the one that has passed the question on decides, which may have parts by now. */
   private _refuse (question: Question, customer: Customer, now: number): void {
-    if (question.hops > 0 && question.asker && !this._holder.hasPart(question.customer, now)) return this._forget(question)
+    if (question.asker?.isPassedOn && this._holder.shareOf(question.customer, now) === 0) return this._forget(question)
     this._settle(question, this._holder.refuse(customer, now), now)
   }
 
   private _passOn (question: Question, now: number): boolean {
     if (question.hops >= MAX_HOPS) return false
     const holder = this._holder.largerHolder(question.customer, now)
-    if (holder === undefined) return false
+    if (holder === undefined || holder === question.asker?.member.instance) return false
     question.hops += 1
     if (this._isSkipped(holder, now)) {
       this._holder.collectReserves(question.customer, now)
@@ -255,7 +260,7 @@
     if (this._open.has(key)) return
     this._open.add(key)
     this._lastNumber -= 1
-    this._decide({ ...newQuestion(this._lastNumber, customer, now), asker: { member: from, ask, key }, hops }, now)
+    this._decide({ ...newQuestion(this._lastNumber, customer, now), asker: { member: from, ask, key, isPassedOn: hops > 0 }, hops }, now)
   }
 
   private _answer (to: Member, ask: number, decision: QuotaDecision): void {
--- a/packages/core/src/members/peerMessages.ts
+++ b/packages/core/src/members/peerMessages.ts
@@ -273,6 +273,8 @@
 export interface QuotaReturnMessage {
   kind: 'quota-return'
   group: number
+  /** The sender uses no loan of this part any more that ends until this time on its clock. */
+  expiresAt: number
 }
 
 /** Asks a holder to hand over to the sender, which is the first candidate. */
--- a/packages/core/src/placement/candidates.ts
+++ b/packages/core/src/placement/candidates.ts
@@ -31,6 +31,8 @@
   cold: ColdTolerance
   /** Fraction of the limits over all entries that this scheduler may use. */
   share: number
+  /** The same for servers that are known to be cold. */
+  coldShare: number
   /** Age up to which a load reading counts as fresh, in milliseconds. */
   freshMs: number
   /** Whether servers are probed before placements. */
@@ -76,7 +78,7 @@
   const blame = Math.min(MAX_BLAME, Math.max(0, record.blame(now) - context.medianBlame))
   const { work } = context
   if (occupancy >= usableSlots(record, work, cold || blame > MAX_MULTI_SLOT_BLAME)) return undefined
-  if (cold && !record.cold.allows(context.cold, context.share, now)) return undefined
+  if (cold && !record.cold.allows(context.cold, context.coldShare, now)) return undefined
   if (context.asks && record.sentSinceProbe(now) > maxSentSinceProbe(context) + record.slots) return undefined
   const full = record.slots > 1 && occupancy + 1 >= record.slots
   const baseMs = work.baseMs(request.route, request.targetMs)
--- a/packages/core/src/placement/scheduler.ts
+++ b/packages/core/src/placement/scheduler.ts
@@ -32,10 +32,11 @@
   service: string
   retry: RetryTolerance
   cold: () => ColdTolerance
-  /** Fraction of the cold tolerance that this scheduler may use, between 0 and 1. */
+  /** Fraction of the limits over all entries that this scheduler may use, between 0 and 1. */
   share: () => number
-  /** The same for the slack of the retry budget. */
-  retryShare: (now: number) => number
+  /** The same for servers that are known to be cold, and for the slack of the retry budget; `share` by default. */
+  coldShare?: () => number
+  retryShare?: () => number
   listener: SchedulerListener
   /** Limits that servers have stated; none by default. */
   limitedRates?: LimitedRates
@@ -66,6 +67,7 @@
   private readonly _records = new Map<string, ServerRecord>()
   private readonly _queue = new RequestQueue()
   private readonly _retryBudget: RetryBudget
+  private readonly _retryShare: () => number
   private readonly _rates: LimitedRates
   private readonly _readings: ReadingRequests
   private readonly _arrivals = new SlidingCount(ARRIVAL_WINDOW_MS)
@@ -84,14 +86,15 @@
     this._retryBudget = new RetryBudget(options.retry)
     this._crossing = new CrossingCost(options.zone)
     this._rates = options.limitedRates ?? UNLIMITED
-    const { cold, share, listener, mayProbe = () => true } = options
+    const { cold, share, coldShare = share, retryShare = share, listener, mayProbe = () => true } = options
+    this._retryShare = retryShare
     const { work, _records: records, _queue: queue, _arrivals: arrivals, _rates: rates } = this
     const isReserved = ({ entry }: ServerRecord): boolean => options.trial?.()?.isReserved(entry) ?? false
     this._capacity = new Capacity({ records, work, rates, isReserved, coldRatePerMs: () => cold().perSecond * share() / 1000 })
     this._policy = new QueuePolicy({ records, queue, work, capacity: this._capacity, arrivals, rates })
     const context = () => {
       const { freshMs, readings } = this._loadReadingPolicy
-      return { cold: cold(), share: share(), freshMs, asks: readings !== 0 }
+      return { cold: cold(), share: share(), coldShare: coldShare(), freshMs, asks: readings !== 0 }
     }
     this._selector = new CandidateSelector({ records, work, policy: this._policy, rates, isReserved, crossing: this._crossing, context })
     this._readings = new ReadingRequests({
@@ -144,7 +147,7 @@
     if (request.purpose === 'first') this._retryBudget.request(now)
     if (request.purpose === 'first' || request.purpose === 'diverted') {
       if (request.targetAt > now) this._arrivals.add(now)
-    } else if (usesRetryBudget(request.purpose) && !this._retryBudget.allows(this._options.retryShare(now), now)) {
+    } else if (usesRetryBudget(request.purpose) && !this._retryBudget.allows(this._retryShare(), now)) {
       return this._refuse(request, 'budget', now)
     }
     this._typicalWorkMs += TYPICAL_WORK_SMOOTHING_RATIO * (this.work.baseMs(route, targetMs) - this._typicalWorkMs)
--- a/packages/core/src/placement/schedulerHost.ts
+++ b/packages/core/src/placement/schedulerHost.ts
@@ -203,8 +203,9 @@
       // Each cell counts its own requests; the slack is divided evenly among the cells.
       retry: { ratio, slack: slack / cells.of(service).length, windowMs },
       cold: () => ({ ...tolerances.cold, perSecond: declarations.service(service)?.coldPerSecond ?? DEFAULT_COLD_PER_SECOND }),
-      share: () => this._shares.ofCold(cell, this._now),
-      retryShare: (now) => this._shares.ofRetries(cell, windowMs, now),
+      share: () => this._shares.of(cell, this._now),
+      coldShare: () => this._shares.ofCold(cell, this._now),
+      retryShare: () => this._shares.ofRetries(cell, windowMs, this._now),
       limitedRates: new LimitedRates({
         limitOf: (server) => limits.of(server), share: () => this._shares.ofLimits(cell, this._now), random
       }),
--- a/packages/core/src/placement/schedulerShares.ts
+++ b/packages/core/src/placement/schedulerShares.ts
@@ -11,6 +11,8 @@
 const SHARING_SCHEDULER_COUNT = 2
 /** Three schedulers of one cell, which can exist while entries disagree on the members, still stay within the limits together. */
 const SCHEDULER_SHARE = 0.33
+/** What remains for all entries when two schedulers use their shares; each has an equal part of it. */
+const SHARE_OF_ALL_ENTRIES = 0.33
 /** Time in which the requests to a cold server are counted. */
 const COLD_WINDOW_MS = 1000
 /** Two schedulers that know what they have sent and three new ones stay within the limits together. */
@@ -35,18 +37,26 @@
     this._options = options
   }
 
+  /** A fraction that keeps the sum over all entries within a limit for most entries. */
+  of (cell: string, now: number): number {
+    if (this._rankIn(cell, now) < SHARING_SCHEDULER_COUNT) return SCHEDULER_SHARE
+    return Math.min(SCHEDULER_SHARE, 1 / (2 * this._options.roster.mostAt(now)))
+  }
+
   /**
    * Share of what retries may use beside their fraction of the requests. A scheduler that has counted for less than `windowMs`, the window
-   * of the budget, uses nothing of it: its predecessors may have used everything, however many there were.
+   * of the budget, has only the part that belongs to its entry, since its predecessors may have used the rest, however many there were.
    */
   ofRetries (cell: string, windowMs: number, now: number): number {
-    return this._countsFor(cell, now) >= windowMs ? this._share(cell, now) : 0
+    const isEstablished = this._rankIn(cell, now) < SHARING_SCHEDULER_COUNT && this._countsFor(cell, now) >= windowMs
+    return isEstablished ? SCHEDULER_SHARE : this._ownShare(now)
   }
 
-  /** Share of what cold servers may get. A scheduler that does not know what its predecessors have sent may send a request or so. */
+  /** Share of what servers that are known to be cold may get. A scheduler that does not know what its predecessors have sent has little. */
   ofCold (cell: string, now: number): number {
-    const share = this._share(cell, now)
-    return this._countsFor(cell, now) >= COLD_WINDOW_MS ? share : Math.min(share, NEW_SCHEDULER_COLD_SHARE)
+    const share = this.of(cell, now)
+    if (this._countsFor(cell, now) >= COLD_WINDOW_MS) return share
+    return Math.min(share, Math.max(NEW_SCHEDULER_COLD_SHARE, this._ownShare(now)))
   }
 
   /** Share of the limits that servers state. */
@@ -77,10 +87,10 @@
     return now - (this._since.get(cell) ?? now)
   }
 
-  /** A fraction that keeps the sum over all entries within a limit for most entries. */
-  private _share (cell: string, now: number): number {
-    if (this._rankIn(cell, now) < SHARING_SCHEDULER_COUNT) return SCHEDULER_SHARE
-    return Math.min(SCHEDULER_SHARE, 1 / (2 * this._options.roster.mostAt(now)))
+  /** The part of a limit that belongs to this entry, whoever schedules. Each of up to three entries has as much as a scheduler. */
+  private _ownShare (now: number): number {
+    const count = this._options.roster.mostAt(now)
+    return count * SCHEDULER_SHARE <= 1 ? SCHEDULER_SHARE : SHARE_OF_ALL_ENTRIES / count
   }
 
   /** Position of this entry among the schedulers of a cell; infinite if it is none of them or does not see a majority of the entries. */
--- a/packages/entry/src/peers/datagramCodec.ts
+++ b/packages/entry/src/peers/datagramCodec.ts
@@ -54,7 +54,7 @@
     ['group', 'number'], ['incarnation', 'number'], ['expiresAt', 'number'], ['share', 'number'], ['restedMs', 'number'],
     ['reserve', 'flag?'], ['holder', 'string?'], ['heldMs', 'number?']
   ],
-  'quota-return': [['group', 'number']],
+  'quota-return': [['group', 'number'], ['expiresAt', 'number']],
   'quota-claim': [['group', 'number'], ['claimedAt', 'number']],
   'quota-handover': [
     ['group', 'number'], ['incarnation', 'number'], ['claimedAt', 'number'], ['share', 'number'], ['idleMs', 'number'],
--- a/packages/laboratory/src/placing/placingModel.ts
+++ b/packages/laboratory/src/placing/placingModel.ts
@@ -281,7 +281,6 @@
         retry: { ratio: 0.2, slack: 56, windowMs: 10_000 },
         cold: () => ({ perSecond: coldPerSecond, overage: 1.5, slack: 5 }),
         share: () => loadShare,
-        retryShare: () => loadShare,
         loadReadingPolicy: () => measuring,
         listener: {
           granted: (grant) => this._granted(grant),
--- a/tests/customers.spec.ts
+++ b/tests/customers.spec.ts
@@ -200,7 +200,6 @@
       retry: { ratio: 0.2, slack: 10, windowMs: 10_000 },
       cold: () => ({ perSecond: 5, overage: 1.5, slack: 3 }),
       share: () => 1,
-      retryShare: () => 1,
       loadReadingPolicy: () => ({ readings: 0, maxRounds: 0, freshMs: 1000 }),
       listener: {
         granted: ({ request: { id, customer }, server }) => {
--- a/tests/placement.spec.ts
+++ b/tests/placement.spec.ts
@@ -53,7 +53,6 @@
       retry: { ratio: 0.2, slack: 4, windowMs: 10_000 },
       cold: () => ({ perSecond: 4, overage: 1.5, slack: 2 }),
       share: () => share,
-      retryShare: () => share,
       listener
     })
   }
--- a/tests/quotaHolders.spec.ts
+++ b/tests/quotaHolders.spec.ts
@@ -8,6 +8,7 @@
 const WINDOW_MS = 5000
 const OVERAGE = 0.1
 const SLACK = 20
+const ROUNDING = 1e-6
 const PATHS = ['/allocations', '/orders', '/returns']
 const SEEDS = Number(process.env.QUOTA_SEEDS ?? 5)
 
@@ -41,6 +42,12 @@
     return this.faults.nodeOf(first!.instance)
   }
 
+  /** The sum of what all entries count of a customer's quota now. */
+  lent (customer: string): number {
+    const { time } = this.cluster
+    return this.cluster.aliveNodes().reduce((sum, { core }) => sum + core.quotas.shareOf(customer, time.now), 0)
+  }
+
   /** The most requests of a customer that were sent and arrived at servers within one window. */
   mostRuns (customer: string): number {
     const { calls, customerRuns } = this.cluster.checker
@@ -176,7 +183,10 @@
   const fleet = new Fleet(quota, { seed, entriesPerZone: 2 + seed % 3 })
   fleet.press('hot', quota.ratePerSecond * 3, 25_000)
   fleet.press('calm', quota.ratePerSecond / 1.6, 25_000)
+  let mostLent = 0
+  fleet.faults.every(10, 25_000, () => { mostLent = Math.max(mostLent, fleet.lent('hot')) })
   fleet.faults.play(25_000, () => fleet.holderOf('hot'))
+  expect(mostLent, `parts that are lent, seed ${seed}`).to.be.at.most(1 + ROUNDING)
   for (const name of ['hot', 'calm']) {
     expect(fleet.mostRuns(name), `${name}, seed ${seed}`).to.be.at.most(allowed(quota))
   }
--- a/tests/zones.spec.ts
+++ b/tests/zones.spec.ts
@@ -17,7 +17,6 @@
     retry: { ratio: 0.2, slack: 10, windowMs: 10_000 },
     cold: () => ({ perSecond: 5, overage: 1.5, slack: 3 }),
     share: () => 1,
-    retryShare: () => 1,
     loadReadingPolicy: () => ({ readings: 0, maxRounds: 0, freshMs: 1e6 }),
     listener: { granted: (grant) => grants.push(grant), refused: () => {}, probe: () => {} }
   })
