Count the whole quota from 0.6 of its parts on, and shorten the loans

A holder with less than 0.4 of the parts now counts nothing, so one with more than 0.6 counts the whole quota: the parts that it lacks are not enough for anybody else. Loans last 0.4 s in place of 0.7 s in small fleets, a process knows how long it has been running, and an answer says when a part can be lent. A new holder asks for the reserve, which is lent only to the holder of the part or while another one has it.

--- a/packages/core/src/customers/quotaBuckets.ts
+++ b/packages/core/src/customers/quotaBuckets.ts
@@ -22,19 +22,13 @@
 const MAX_RETURN_MS = 10_000
 /** Keeps waiting times finite while nothing is lent. */
 const MIN_PER_MS = 1e-9
-/**
- * Only a holder of this share or more can always hold one request. Were it the case for every holder, the sum of what many separated
- * entries hold at once would exceed a small burst; so it does by less than 1 / MIN_SHARE_OF_ONE_REQUEST requests.
- */
-const MIN_SHARE_OF_ONE_REQUEST = 1 / 8
-
 /** One token bucket for each customer with a quota. */
 export class QuotaBuckets {
   private readonly _buckets = new Map<string, Bucket>()
-  private readonly _initialTokens: (customer: Customer, now: number) => number
+  private readonly _initialTokens: (customer: Customer) => number
 
-  /** `initialTokens` is what a customer may request at once when it has requested nothing here. */
-  constructor (initialTokens: (customer: Customer, now: number) => number) {
+  /** `initialTokens` is what a customer may request at once when its bucket is created. */
+  constructor (initialTokens: (customer: Customer) => number) {
     this._initialTokens = initialTokens
   }
 
@@ -74,6 +68,11 @@
     if (bucket.peaks.raise(now - ageMs, rate.burst, now)) bucket.limiter.add(1)
   }
 
+  /** Creates the buckets that do not exist yet. */
+  create (customers: Iterable<Customer>, now: number): void {
+    for (const customer of customers) this._bucketOf(customer, now)
+  }
+
   /** Adds what has accumulated with a share, before the share changes. */
   settle (share: number, now: number): void {
     for (const bucket of this._buckets.values()) this._refill(bucket, rateOf(bucket.customer, share), now)
@@ -89,10 +88,6 @@
     return new Map([...this._buckets].map(([name, { limiter }]) => [name, limiter.tokens]))
   }
 
-  clear (): void {
-    this._buckets.clear()
-  }
-
   private _refill (bucket: Bucket, rate: Rate, now: number): number {
     const waitMs = bucket.limiter.waitMs(rate, now)
     bucket.peaks.record(bucket.limiter.tokens, now)
@@ -102,7 +97,7 @@
   private _bucketOf (customer: Customer, now: number): Bucket {
     let bucket = this._buckets.get(customer.name)
     if (!bucket) {
-      const limiter = new RateLimiter(this._initialTokens(customer, now), now)
+      const limiter = new RateLimiter(this._initialTokens(customer), now)
       bucket = { customer, limiter, peaks: new RecentPeaks(), lastReturnAt: -Infinity }
       this._buckets.set(customer.name, bucket)
     }
@@ -111,10 +106,10 @@
   }
 }
 
+/** Whoever counts anything can hold one request. */
 function rateOf ({ ratePerSecond = Infinity, burst = 0 }: Customer, share: number): Rate {
-  const most = Math.max(1, burst) * share
   return {
     perMs: Math.max(MIN_PER_MS, ratePerSecond * share / 1000),
-    burst: share >= MIN_SHARE_OF_ONE_REQUEST ? Math.max(1, most) : most
+    burst: share > 0 ? Math.max(1, burst * share) : 0
   }
 }
--- a/packages/core/src/customers/quotaCandidates.ts
+++ b/packages/core/src/customers/quotaCandidates.ts
@@ -1,5 +1,5 @@
 /** Which entries may count for the groups of customers. */
-import { isLimited, type GatewayConfiguration } from '../configuration/gateway.js'
+import { isLimited, type Customer, type GatewayConfiguration } from '../configuration/gateway.js'
 import type { Declarations } from '../configuration/declarations.js'
 import { hash } from '../hash.js'
 import type { Member } from '../members/member.js'
@@ -50,6 +50,12 @@
     return rank >= 0 && (own < 0 || rank < own)
   }
 
+  /** Customers of a group that have a limit. */
+  limitedCustomers (group: number): Customer[] {
+    const customers = this._options.declarations.gateway?.customers ?? []
+    return customers.filter((customer) => isLimited(customer) && quotaGroupOf(customer.name) === group)
+  }
+
   /** The groups that have customers with a limit. */
   get limitedGroups (): ReadonlySet<number> {
     const { gateway } = this._options.declarations
--- a/packages/core/src/customers/quotaHolder.ts
+++ b/packages/core/src/customers/quotaHolder.ts
@@ -28,11 +28,10 @@
   /** Questions wait until this time for the answers to the first messages. */
   collectingUntil: number
   reserveUntil: number
-  /** When this entry was last seen without any part. */
-  emptyAt: number
   /** Another holder that has parts, as their lenders report. */
   otherHolder: { instance: string, at: number } | undefined
   claimedAt: number
+  loggedFraction: number
   /** When this entry has handed over to another one, and the other way round. */
   handedOverAt: number
   handedOverToAt: number
@@ -41,10 +40,11 @@
 /** Several round trips between zones. */
 const COLLECTING_MS = 12
 /** An entry that has not answered is asked again after this time. */
-const RETRY_MS = 100
+const RETRY_MS = 50
 /** A customer usually gets through its first requests in this time. */
 const NEW_HOLDER_MS = 3000
 const RESERVE_RETRY_MS = 500
+const MIN_RETRY_MS = 5
 /** After a handover, the returned parts may still be on their way to their owners. */
 const RETURN_MS = 10
 /** A holder that is not the first candidate extends its loans no more when it has not been asked for this long. */
@@ -55,8 +55,8 @@
 const HANDOVER_TIMEOUT_MS = 200
 /** Keeps a handover within a few packets. The levels of more customers are not handed over. */
 const MAX_HANDOVER_CUSTOMERS = 200
-/** A holder with a smaller share passes questions that it would refuse on to one with a larger share. */
-const PASSING_SHARE = 0.5
+/** A holder that counts a smaller fraction passes questions that it would refuse on to one that counts more. */
+const PASSING_FRACTION = 0.5
 
 /** Loans that this entry has and gives. */
 export class QuotaHolder {
@@ -67,30 +67,35 @@
   constructor (options: QuotaHolderOptions) {
     this._options = options
     this._candidates = new QuotaCandidates(options)
-    this._groups = Array.from({ length: QUOTA_GROUPS }, () => ({
-      pool: new QuotaPool(),
+    this._groups = Array.from({ length: QUOTA_GROUPS }, (_, number) => ({
+      pool: new QuotaPool(() => this._candidates.limitedCustomers(number)),
       activeUntil: -Infinity,
       collectAt: new Map(),
       requestedUntil: -Infinity,
       returnedUntil: -Infinity,
       collectingUntil: -Infinity,
       reserveUntil: -Infinity,
-      emptyAt: -Infinity,
       otherHolder: undefined,
       claimedAt: -Infinity,
+      loggedFraction: 0,
       handedOverAt: -Infinity,
       handedOverToAt: -Infinity
     }))
   }
 
+  /** Whether this entry asks others for their parts, which is due often. */
+  isCollectingAt (now: number): boolean {
+    return this._candidates.limitedGroups.size > 0 && this._groups.some((_, number) => this._isActive(number, now))
+  }
+
   /** Number of customers that this entry counts. */
   get customerCount (): number {
     return this._groups.reduce((sum, { pool }) => sum + pool.customerCount, 0)
   }
 
-  /** The part of a customer's quota that is lent to this entry. */
-  shareOf (customer: string, now: number): number {
-    return this._groups[quotaGroupOf(customer)]!.pool.shareAt(now)
+  /** The fraction of a customer's quota that this entry counts. */
+  fractionOf (customer: string, now: number): number {
+    return this._groups[quotaGroupOf(customer)]!.pool.fractionAt(now)
   }
 
   /** Entries that may count a customer's requests, the preferred one first. */
@@ -102,7 +107,7 @@
   tryTake (customer: Customer, now: number): boolean {
     const number = quotaGroupOf(customer.name)
     const group = this._groups[number]!
-    const isNew = group.pool.shareAt(now) === 0 && now - group.collectingUntil >= this._options.lender.intervalMs(now)
+    const isNew = group.pool.fractionAt(now) === 0 && now - group.collectingUntil >= this._options.lender.intervalMs(now)
     if (isNew) group.collectingUntil = now + COLLECTING_MS
     group.activeUntil = now + ACTIVE_MS
     this._collect(number, now)
@@ -119,7 +124,7 @@
   /** Refuses a request. While nothing is lent to this entry, the parts are about to be lent, or come back when other loans end. */
   refuse (customer: Customer, now: number): QuotaDecision {
     const { pool } = this._groups[quotaGroupOf(customer.name)]!
-    return pool.shareAt(now) > 0 ? pool.refuse(customer, now) : { kind: 'exceeded', retryAfterMs: this._options.lender.leaseMs(now) }
+    return pool.fractionAt(now) > 0 ? pool.refuse(customer, now) : { kind: 'exceeded', retryAfterMs: this._options.lender.leaseMs(now) }
   }
 
   refund (customer: string, ageMs: number, now: number): void {
@@ -135,18 +140,17 @@
   largerHolder (customer: string, now: number): string | undefined {
     const number = quotaGroupOf(customer)
     const { pool, otherHolder, handedOverToAt } = this._groups[number]!
-    if (pool.shareAt(now) >= PASSING_SHARE || now - handedOverToAt < HANDOVER_TIMEOUT_MS) return undefined
+    if (pool.fractionAt(now) >= PASSING_FRACTION || now - handedOverToAt < HANDOVER_TIMEOUT_MS) return undefined
     const { instance } = this._options.roster.self
     if (otherHolder && now - otherHolder.at < 2 * this._options.lender.intervalMs(now)) return otherHolder.instance
     const [first] = this._candidates.of(number)
     return first && first.instance !== instance ? first.instance : undefined
   }
 
-  /** Whether this entry has had no part of a customer's quota a short time ago, so that little has accumulated since. */
+  /** Whether this entry has begun to count a customer's requests a short time ago, so that little has accumulated since. */
   isNew (customer: string, now: number): boolean {
-    const group = this._groups[quotaGroupOf(customer)]!
-    if (group.pool.shareAt(now) === 0) group.emptyAt = now
-    return now - group.emptyAt < NEW_HOLDER_MS
+    const { pool } = this._groups[quotaGroupOf(customer)]!
+    return pool.fractionAt(now) > 0 && pool.countsForMs(now) < NEW_HOLDER_MS
   }
 
   /** Asks all entries for their reserves, because the holder of their parts does not answer or this one is new. */
@@ -172,30 +176,28 @@
       group: number,
       expiresAt,
       parts: lender.partsAt(now),
-      restedMs: lending?.kind === 'lent' ? Math.floor(lending.restedMs) : undefined,
-      reserve: (reserve && lender.takeReserve(number, now)) || undefined,
+      isLent: lending?.kind === 'lent' || undefined,
+      reserve: (reserve && lending && lender.takeReserve(number, now)) || undefined,
       holder: lending?.kind === 'held' ? lending.holder : undefined,
-      heldMs: lending?.kind === 'held' ? Math.ceil(lending.forMs) : undefined
+      heldMs: lending?.kind === 'lent' ? undefined : Math.ceil(lending?.forMs ?? lender.settlesInMs(now))
     })
   }
 
   /** Handles the answer to a request for a part. */
   lent (from: Member, message: QuotaLendMessage, now: number): void {
-    const { group: number, parts, restedMs, expiresAt, reserve, holder, heldMs = Infinity } = message
+    const { group: number, parts, isLent, expiresAt, reserve, holder, heldMs = Infinity } = message
     const group = this._groups[number]
     if (!group || !(parts >= 1)) return
     const intervalMs = this._options.lender.intervalMs(now)
     const share = 1 / parts
-    group.collectAt.set(from.instance, now + intervalMs)
+    const isHandingOver = holder !== undefined && now - group.handedOverToAt < HANDOVER_TIMEOUT_MS
+    const delayMs = isHandingOver ? RETURN_MS : Math.min(intervalMs, Math.max(MIN_RETRY_MS, heldMs))
+    group.collectAt.set(from.instance, now + delayMs)
     if (reserve) group.pool.reserveLent(share, now)
-    if (holder !== undefined) {
-      group.otherHolder = { instance: holder, at: now }
-      const isHandingOver = now - group.handedOverToAt < HANDOVER_TIMEOUT_MS
-      group.collectAt.set(from.instance, now + (isHandingOver ? RETURN_MS : Math.min(intervalMs, Math.max(1, heldMs))))
-    }
+    if (holder !== undefined) group.otherHolder = { instance: holder, at: now }
     // The answer to a request that was sent before the parts were given back is of no use.
     const isCurrent = expiresAt > now && expiresAt > group.returnedUntil && expiresAt <= group.requestedUntil
-    if (restedMs !== undefined && isCurrent) group.pool.lent(from.instance, { share, restedMs: Math.max(0, restedMs), expiresAt }, now)
+    if (isLent && isCurrent) group.pool.lent(from.instance, { share, expiresAt }, now)
   }
 
   /** Handles the early end of a loan of this entry's part. */
@@ -208,7 +210,7 @@
     const group = this._groups[number]
     if (!group || !this._candidates.precedes(number, from) || group.pool.shareAt(now) === 0) return
     const { outbox } = this._options
-    const { share, levels, idleMs } = this._release(number, now)
+    const { fraction, levels } = this._release(number, now)
     group.handedOverAt = now
     outbox.log({ decision: 'quota-handed-over', instance: from.instance, count: levels.size })
     const isComplete = levels.size <= MAX_HANDOVER_CUSTOMERS
@@ -217,22 +219,21 @@
       group: number,
       incarnation: from.incarnation,
       claimedAt,
-      share,
-      idleMs: isComplete ? idleMs : 0,
+      fraction,
       customers: isComplete ? [...levels.keys()] : [],
       tokens: isComplete ? [...levels.values()] : []
     })
   }
 
   /** Takes over from a holder that has handed over. A late message is of no use, since the parts have accumulated requests again. */
-  handedOver ({ group: number, incarnation, claimedAt, share, idleMs, customers, tokens }: QuotaHandoverMessage, now: number): void {
+  handedOver ({ group: number, incarnation, claimedAt, fraction, customers, tokens }: QuotaHandoverMessage, now: number): void {
     const group = this._groups[number]
     const isLate = claimedAt > now || now - claimedAt > HANDOVER_TIMEOUT_MS
     if (!group || isLate || incarnation !== this._options.roster.self.incarnation) return
     group.otherHolder = undefined
     group.handedOverToAt = now
     group.collectingUntil = now + COLLECTING_MS
-    group.pool.takeOver({ share, idleMs, levels: new Map(customers.map((name, index) => [name, Math.max(0, tokens[index] ?? 0)])) }, now)
+    group.pool.takeOver({ fraction, levels: new Map(customers.map((name, index) => [name, Math.max(0, tokens[index] ?? 0)])) }, now)
     group.collectAt.clear()
     this._collect(number, now)
   }
@@ -240,6 +241,7 @@
   tick (now: number): void {
     this._options.lender.tick(now)
     if (this._candidates.limitedGroups.size === 0) return
+    for (const group of this._groups) this._logFraction(group, now)
     // The loans of a holder that is no longer active end by themselves, unless a preferred holder claims them before.
     for (const number of this._groups.keys()) {
       if (!this._isActive(number, now)) continue
@@ -248,6 +250,13 @@
     }
   }
 
+  private _logFraction (group: Group, now: number): void {
+    const fraction = group.pool.fractionAt(now)
+    if (fraction === group.loggedFraction) return
+    group.loggedFraction = fraction
+    this._options.outbox.log({ decision: 'quota-counting', reason: fraction.toFixed(2), count: group.pool.lenders.length })
+  }
+
   /** Asks for parts that have not been lent yet, or whose loans end soon. */
   private _collect (number: number, now: number): void {
     const group = this._groups[number]!
@@ -258,7 +267,7 @@
     const reserve = now < group.reserveUntil
     const expiresAt = Math.floor(now + leaseMs)
     group.requestedUntil = Math.max(group.requestedUntil, expiresAt)
-    if (!group.pool.hasLoan(self, now + intervalMs)) this._collectOwn(number, now)
+    if (reserve || !group.pool.hasLoan(self, now + intervalMs)) this._collectOwn(number, now)
     for (const member of roster.alive) {
       if (member.instance === self || now < (group.collectAt.get(member.instance) ?? -Infinity)) continue
       group.collectAt.set(member.instance, now + (group.pool.hasLoan(member.instance, now) ? intervalMs : RETRY_MS))
@@ -272,9 +281,9 @@
     const leaseMs = lender.leaseMs(now)
     const expiresAt = now + leaseMs
     const share = 1 / lender.partsAt(now)
-    if (now < reserveUntil && lender.takeReserve(number, now)) pool.reserveLent(share, now)
     const lending = lender.lend(number, roster.self, { leaseMs, expiresAt }, now)
-    if (lending?.kind === 'lent') pool.lent(roster.self.instance, { share, restedMs: lending.restedMs, expiresAt }, now)
+    if (lending && now < reserveUntil && lender.takeReserve(number, now)) pool.reserveLent(share, now)
+    if (lending?.kind === 'lent') pool.lent(roster.self.instance, { share, expiresAt }, now)
   }
 
   /** Takes this entry's part back from itself, so that it can be lent. */
--- a/packages/core/src/customers/quotaLender.ts
+++ b/packages/core/src/customers/quotaLender.ts
@@ -7,19 +7,21 @@
   roster: Roster
   /** Whether this entry is the only one through which others join, so that it may be the only one. */
   isOnlySeed: boolean
+  /** How long this process has been running before its first periodic work, in milliseconds. */
+  upMs: number
 }
 
-/** Time between two requests for the same part. Above some 70 entries it grows, so that a holder sends 333 of them a second at most. */
-const MIN_COLLECT_INTERVAL_MS = 200
-const COLLECT_INTERVAL_PER_ENTRY_MS = 3
+/** Time between two requests for the same part. Above some 70 entries it grows, so that a holder sends 667 of them a second at most. */
+const MIN_COLLECT_INTERVAL_MS = 100
+const COLLECT_INTERVAL_PER_ENTRY_MS = 1.5
 /** A part is lent for this many intervals, so that some messages may be lost, and for a while more. */
 const LEASE_INTERVALS = 3
 const LEASE_MARGIN_MS = 100
 /** A new process owns its part when every loan by the process before it has ended, and a while later. */
-const SETTLING_MARGIN_MS = 200
+const SETTLING_MARGIN_MS = 50
 /**
  * Time between two loans of the reserve, and how long a holder uses it. At most three reserves of an entry are used within 5 seconds, the
- * window in which deployments count: 12 requests and 0.4 seconds' worth, where they tolerate 20 and 0.5 seconds' worth.
+ * window in which deployments count: 15 requests and 0.45 seconds' worth, where they tolerate 20 and 0.5 seconds' worth.
  */
 const RESERVE_INTERVAL_MS = 3100
 export const RESERVE_USE_MS = 3000
@@ -58,12 +60,18 @@
     return isOnlySeed && !roster.fleet.isInformed && now - (this._startedAt ?? now) < STORE_LOOKUP_MS
   }
 
+  /** Time until this entry owns its part. */
+  settlesInMs (now: number): number {
+    const upMs = this._options.upMs + now - (this._startedAt ?? now)
+    return Math.max(0, this.leaseMs(now) + SETTLING_MARGIN_MS - upMs)
+  }
+
   /** Lends the part of a group, or extends the loan. Returns undefined while this entry owns none. */
   lend (group: number, to: Holder, loan: { leaseMs: number, expiresAt: number }, now: number): Lending | undefined {
     return this._slices[group]?.lend(to, loan.leaseMs, loan.expiresAt, now)
   }
 
-  /** Whether the reserve of a group is lent now. It does not depend on who has the part. */
+  /** Whether the reserve of a group is lent now. */
   takeReserve (group: number, now: number): boolean {
     if (!this._options.roster.fleet.isInformed || now - this._reserveLentAt[group]! < RESERVE_INTERVAL_MS) return false
     this._reserveLentAt[group] = now
@@ -81,7 +89,7 @@
     const { isOnlySeed, roster: { fleet } } = this._options
     if (!fleet.isInformed) return
     const isAlone = isOnlySeed && fleet.countAt(now) <= 1
-    if (!isAlone && now - this._startedAt < this.leaseMs(now) + SETTLING_MARGIN_MS) return
-    for (let group = 0; group < QUOTA_GROUPS; group++) this._slices.push(new QuotaSlice(now))
+    if (!isAlone && this.settlesInMs(now) > 0) return
+    for (let group = 0; group < QUOTA_GROUPS; group++) this._slices.push(new QuotaSlice())
   }
 }
--- a/packages/core/src/customers/quotaPool.ts
+++ b/packages/core/src/customers/quotaPool.ts
@@ -8,43 +8,54 @@
   share: number
   /** On the clock of this entry; never later than the lender counts. */
   expiresAt: number
-  lentAt: number
-  restedMs: number
 }
 
 /** What a holder passes on when it gives up all loans. */
 export interface Handover {
-  share: number
+  /** The fraction of the quotas that it counted. */
+  fraction: number
   /** Tokens by customer. */
   levels: ReadonlyMap<string, number>
-  /** Customers that are not among them have requested nothing for this long. */
-  idleMs: number
 }
 
+/**
+ * A holder with less than this share of the parts counts nothing, and so one that has all but this share counts the whole quota: of the
+ * others none can have enough. Machines that are down or cut off for themselves then take nothing from customers.
+ */
+const MIN_SHARE = 0.4
 /** Beside its part, an entry lends this many requests of each customer while the holder of its part does not answer. */
-const RESERVE_TOKENS = 4
+const RESERVE_TOKENS = 5
 /** It also lends what the customer may request in this time. */
-const RESERVE_S = 0.13
-/** Parts that come later than this after a handover have accumulated requests elsewhere. */
+const RESERVE_S = 0.15
+/** Parts that come later than this after a handover may have been used elsewhere. */
 const HANDOVER_USE_MS = 200
 /** Makes up for rounding errors in the sum of all shares. */
 const ROUNDING = 1e-9
 
 /**
- * Counts requests within the sum of the parts that are lent to this entry. Every part is with one holder at a time, and a part that a
- * holder has not returned starts anew with nothing, so all holders together never accept more than the quota.
+ * Counts requests within the fraction of the quotas that the parts allow which are lent to this entry. Every part is with one holder at a
+ * time, and a holder that begins to count has no tokens but those that were handed over, so all holders together never accept more
+ * than the quota.
  */
 export class QuotaPool {
+  private readonly _customers: () => Iterable<Customer>
   private readonly _loans = new Map<string, Loan>()
-  private readonly _buckets = new QuotaBuckets((customer, now) => this._initialTokens(customer, now))
+  private readonly _buckets = new QuotaBuckets((customer) => this._fraction * Math.max(1, customer.burst ?? 0))
   private _share = 0
+  private _fraction = 0
+  private _countsSince = -Infinity
   private _nextExpiryAt = Infinity
   private _reserve = { share: 0, until: -Infinity }
   private readonly _reserveSpent = new Map<string, number>()
   private _handover: Handover | undefined
   private _handoverUntil = -Infinity
-  /** Fraction of the handover that came with parts so far. */
-  private _receivedFraction = 0
+  /** Part of the handover that was received so far, between 0 and 1. */
+  private _received = 0
+
+  /** `customers` are those that are counted here if they make requests. */
+  constructor (customers: () => Iterable<Customer>) {
+    this._customers = customers
+  }
 
   /** The sum of the parts that are lent. */
   shareAt (now: number): number {
@@ -52,9 +63,20 @@
     return this._share
   }
 
+  /** The fraction of the quotas that is counted here. */
+  fractionAt (now: number): number {
+    this._expire(now)
+    return this._fraction
+  }
+
+  /** How long this entry has counted anything. */
+  countsForMs (now: number): number {
+    return this.fractionAt(now) > 0 ? now - this._countsSince : 0
+  }
+
   /** Number of customers that this entry counts. */
   get customerCount (): number {
-    return this._buckets.size
+    return this._fraction > 0 ? this._buckets.size : 0
   }
 
   /** The entries whose parts are lent. */
@@ -66,21 +88,11 @@
     return (this._loans.get(lender)?.expiresAt ?? -Infinity) > now
   }
 
-  /** Adds or extends a loan. `restedMs` is the time for which nobody has used the part. */
-  lent (lender: string, { share, restedMs, expiresAt }: Omit<Loan, 'lentAt'>, now: number): void {
+  /** Adds or extends a loan. */
+  lent (lender: string, { share, expiresAt }: Loan, now: number): void {
     this._expire(now)
-    this._buckets.settle(this._share, now)
-    const loan = this._loans.get(lender)
-    if (loan) {
-      loan.expiresAt = Math.max(loan.expiresAt, expiresAt)
-      loan.share = share
-    } else {
-      this._loans.set(lender, { share, restedMs, expiresAt, lentAt: now })
-      const fraction = this._handover && now < this._handoverUntil ? Math.min(share / this._handover.share, 1 - this._receivedFraction) : 0
-      this._receivedFraction += fraction
-      this._buckets.add((customer) => tokensOf(customer, share, restedMs) + fraction * this._handedOver(customer))
-    }
-    this._sharesChanged()
+    this._loans.set(lender, { share, expiresAt: Math.max(expiresAt, this._loans.get(lender)?.expiresAt ?? -Infinity) })
+    this._loansChanged(now)
   }
 
   /** Adds the reserve of an entry, which does not need its part. */
@@ -94,51 +106,45 @@
 
   /** Ends the loan of an entry that uses its part elsewhere. */
   withdrawn (lender: string, now: number): void {
-    if (!this._loans.has(lender)) return
     this._expire(now)
-    this._buckets.settle(this._share, now)
-    this._loans.delete(lender)
-    this._sharesChanged()
+    if (this._loans.delete(lender)) this._loansChanged(now)
   }
 
   /** Counts a request if it is within what is left here. */
   tryTake (customer: Customer, now: number): boolean {
     this._expire(now)
-    return this._buckets.tryTake(customer, this._share, now) || this._takeReserve(customer, now)
+    return this._buckets.tryTake(customer, this._fraction, now) || this._takeReserve(customer, now)
   }
 
   /** Promises the next free time to a customer whose request is refused. */
   refuse (customer: Customer, now: number): QuotaDecision {
     this._expire(now)
-    return this._buckets.refuse(customer, this._share, now)
+    return this._buckets.refuse(customer, this._fraction, now)
   }
 
   /** Takes back a request that has not run. */
   refund (customer: string, ageMs: number, now: number): void {
     this._expire(now)
-    this._buckets.refund(customer, this._share, ageMs, now)
+    this._buckets.refund(customer, this._fraction, ageMs, now)
   }
 
   /** Gives up all loans. Returns what is left of them. */
   handOver (now: number): Handover {
     this._expire(now)
-    this._buckets.settle(this._share, now)
-    let idleMs = this._loans.size === 0 ? 0 : Infinity
-    for (const { restedMs, lentAt } of this._loans.values()) idleMs = Math.min(idleMs, restedMs + now - lentAt)
-    const handover = { share: this._share, levels: this._buckets.levels, idleMs }
+    this._buckets.settle(this._fraction, now)
+    const handover = { fraction: this._fraction, levels: this._buckets.levels }
     this._loans.clear()
-    this._buckets.clear()
     this._handover = undefined
-    this._sharesChanged()
+    this._loansChanged(now)
     return handover
   }
 
   /** Takes over what another holder has given up. It comes with the parts that are lent in the next moments. */
   takeOver (handover: Handover, now: number): void {
-    if (handover.share <= 0) return
+    if (handover.fraction <= 0) return
     this._handover = handover
     this._handoverUntil = now + HANDOVER_USE_MS
-    this._receivedFraction = 0
+    this._received = 0
   }
 
   private _takeReserve (customer: Customer, now: number): boolean {
@@ -151,27 +157,15 @@
     return true
   }
 
-  private _initialTokens (customer: Customer, now: number): number {
-    let tokens = this._receivedFraction * this._handedOver(customer)
-    for (const { share, restedMs, lentAt } of this._loans.values()) tokens += tokensOf(customer, share, restedMs + now - lentAt)
-    return tokens
-  }
-
-  private _handedOver (customer: Customer): number {
-    if (!this._handover) return 0
-    const { levels, share, idleMs } = this._handover
-    return levels.get(customer.name) ?? tokensOf(customer, share, idleMs)
-  }
-
   private _expire (now: number): void {
     while (now >= this._nextExpiryAt) {
-      this._buckets.settle(this._share, this._nextExpiryAt)
-      for (const [lender, { expiresAt }] of this._loans) if (expiresAt <= this._nextExpiryAt) this._loans.delete(lender)
-      this._sharesChanged()
+      const at = this._nextExpiryAt
+      for (const [lender, { expiresAt }] of this._loans) if (expiresAt <= at) this._loans.delete(lender)
+      this._loansChanged(at)
     }
   }
 
-  private _sharesChanged (): void {
+  private _loansChanged (now: number): void {
     let sum = 0
     this._nextExpiryAt = Infinity
     for (const { share, expiresAt } of this._loans.values()) {
@@ -179,10 +173,28 @@
       this._nextExpiryAt = Math.min(this._nextExpiryAt, expiresAt)
     }
     this._share = this._loans.size === 0 ? 0 : Math.min(1, sum + ROUNDING)
+    this._setFraction(fractionOf(this._share), now)
+  }
+
+  /** Settles all buckets, so that none accumulates anything for a time in which another fraction was counted. */
+  private _setFraction (fraction: number, now: number): void {
+    if (fraction === this._fraction) return
+    this._buckets.create(this._customers(), now)
+    this._buckets.settle(this._fraction, now)
+    if (this._fraction === 0) this._countsSince = now
+    this._fraction = fraction
+    this._buckets.settle(fraction, now)
+    if (!this._handover || now >= this._handoverUntil) return
+    const received = Math.min(1, fraction / this._handover.fraction)
+    const added = Math.max(0, received - this._received)
+    this._received = Math.max(received, this._received)
+    const { levels } = this._handover
+    this._buckets.add(({ name }) => added * (levels.get(name) ?? 0))
   }
 }
 
-/** What a part accumulates in a time of rest. */
-function tokensOf ({ ratePerSecond = 0, burst = 0 }: Customer, share: number, restedMs: number): number {
-  return share * Math.min(Math.max(1, burst), ratePerSecond * restedMs / 1000)
+/** The fraction of the quotas that a holder counts with a share of all parts. */
+function fractionOf (share: number): number {
+  if (share < MIN_SHARE) return 0
+  return share > 1 - MIN_SHARE ? 1 : share
 }
--- a/packages/core/src/customers/quotaSlice.ts
+++ b/packages/core/src/customers/quotaSlice.ts
@@ -8,8 +8,7 @@
 
 /** The result of a request for a part. */
 export type Lending =
-  /** `restedMs`: time for which nobody has used the part, so that it has accumulated requests. */
-  | { kind: 'lent', restedMs: number }
+  | { kind: 'lent' }
   /** Another holder has the part for at most this time. */
   | { kind: 'held', holder: string, forMs: number }
 
@@ -20,13 +19,6 @@
   private _lentUntil = -Infinity
   /** End of the loan on the holder's clock. */
   private _expiresAt = -Infinity
-  private _freeSince: number
-
-  /** `now` is the time from which this entry owns the part. */
-  constructor (now: number) {
-    this._freeSince = now
-  }
-
   /**
    * Lends the part, or extends the loan of the same holder; `expiresAt` is the end of the loan on the holder's clock. A new process of the
    * holder's instance proves that the old one has ended.
@@ -37,11 +29,10 @@
     if (holder && (holder.instance !== instance || holder.incarnation > incarnation)) {
       return { kind: 'held', holder: holder.instance, forMs: this._lentUntil - now }
     }
-    const restedMs = this._holder ? 0 : now - this._freeSince
     this._expiresAt = holder?.incarnation === incarnation ? Math.max(this._expiresAt, expiresAt) : expiresAt
     this._holder = { instance, incarnation }
     this._lentUntil = Math.max(this._lentUntil, now + Math.min(leaseMs, MAX_LEASE_MS))
-    return { kind: 'lent', restedMs }
+    return { kind: 'lent' }
   }
 
   /**
@@ -53,12 +44,10 @@
     const holder = this._holder
     if (holder?.instance !== from.instance || holder.incarnation !== from.incarnation || expiresAt < this._expiresAt) return
     this._holder = undefined
-    this._freeSince = now
+    this._lentUntil = now
   }
 
   private _expire (now: number): void {
-    if (!this._holder || now < this._lentUntil) return
-    this._holder = undefined
-    this._freeSince = this._lentUntil
+    if (now >= this._lentUntil) this._holder = undefined
   }
 }
--- a/packages/core/src/customers/quotas.ts
+++ b/packages/core/src/customers/quotas.ts
@@ -82,6 +82,11 @@
     return this._questions.size > 0
   }
 
+  /** Whether this entry counts for others, or is about to. */
+  isHolding (now: number): boolean {
+    return this._holder.isCollectingAt(now)
+  }
+
   /** Number of customers whose requests this entry counts for others. */
   get kept (): number {
     return this._holder.customerCount
@@ -92,9 +97,9 @@
     return this._holder.candidatesFor(customer)
   }
 
-  /** The part of a customer's quota that this entry counts now, between 0 and 1. */
-  shareOf (customer: string, now: number): number {
-    return this._holder.shareOf(customer, now)
+  /** The fraction of a customer's quota that this entry counts now. */
+  fractionOf (customer: string, now: number): number {
+    return this._holder.fractionOf(customer, now)
   }
 
   /** Number of requests that this entry has refused because of a quota. */
@@ -208,7 +213,7 @@
 
   /** Refuses, unless this entry has no part at all: then the one that has passed the question on decides, which may have parts by now. */
   private _refuse (question: Question, customer: Customer, now: number): void {
-    if (question.asker?.isPassedOn && this._holder.shareOf(question.customer, now) === 0) return this._forget(question)
+    if (question.asker?.isPassedOn && this._holder.fractionOf(question.customer, now) === 0) return this._forget(question)
     this._settle(question, this._holder.refuse(customer, now), now)
   }
 
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -234,6 +234,7 @@
   | 'store-history-lost'
   | 'quota-holder-silent'
   | 'quota-handed-over'
+  | 'quota-counting'
   | 'rollout-ordered'
   | 'rollout-withdrawn'
   | 'rollout-phase'
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -39,6 +39,8 @@
   seeds: PeerAddress[]
   /** Whether the whole cluster starts for the first time; false by default. */
   isFirstStart?: boolean
+  /** How long the process has been running, in milliseconds; 0 by default. */
+  upMs?: number
   tolerances: Tolerances
   reader: RowReader
   random: Random
@@ -56,7 +58,7 @@
 /** Time between ticks while a request waits for a server. */
 const WAITING_TICK_MS = 5
 const MIN_TICK_MS = 2
-/** Longest time between ticks while this entry starts and warms up, or while it runs schedulers and probes unreachable servers. */
+/** Longest time between ticks while this entry starts and warms up, runs schedulers, probes unreachable servers or counts for customers. */
 const MAX_ACTIVE_TICK_MS = 20
 /** Longest time between ticks, and so the granularity of periodic work that has no due time of its own. */
 const MAX_TICK_MS = 100
@@ -185,6 +187,7 @@
       roster,
       roles,
       outbox,
+      upMs: options.upMs ?? 0,
       isOnlySeed: seeds.every(({ host, port }) => host === identity.host && port === identity.peerPort)
     })
     const cellSelector = new CellSelector({ cells, roster, random })
@@ -228,7 +231,8 @@
   /** Time until the core needs the next tick, in milliseconds. */
   pauseMs (now: number): number {
     if (this.requests.waiting || this.host.busy) return WAITING_TICK_MS
-    const maxTickMs = !this.roster.self.isWarm || this.host.isActive(now) ? MAX_ACTIVE_TICK_MS : MAX_TICK_MS
+    const isActive = !this.roster.self.isWarm || this.host.isActive(now) || this.quotas.isHolding(now)
+    const maxTickMs = isActive ? MAX_ACTIVE_TICK_MS : MAX_TICK_MS
     const dueAt = Math.min(this.requests.dueAt, this.roster.dueAt, this.replication.dueAt, this._closeDueAt, now + maxTickMs)
     return Math.max(MIN_TICK_MS, dueAt - now)
   }
--- a/packages/core/src/members/peerMessages.ts
+++ b/packages/core/src/members/peerMessages.ts
@@ -258,12 +258,13 @@
   expiresAt: number
   /** Number of equal parts of each quota. */
   parts: number
-  /** Present if the part is lent: the time for which nobody has used it. */
-  restedMs?: number
+  /** Whether the part is lent. */
+  isLent?: boolean
   /** Whether the sender lends its reserve. */
   reserve?: boolean
-  /** Another entry that has the part, and for how long at most. */
+  /** Another entry that has the part. */
   holder?: string
+  /** Time until the part can be lent. */
   heldMs?: number
 }
 
@@ -289,10 +290,8 @@
   group: number
   incarnation: number
   claimedAt: number
-  /** The sum of the parts. */
-  share: number
-  /** Customers that are not listed have requested nothing for this long. */
-  idleMs: number
+  /** The fraction of the quotas that the sender has counted. */
+  fraction: number
   /** What the customers may still request, by index. */
   customers: string[]
   tokens: number[]
--- a/packages/entry/src/peers/datagramCodec.ts
+++ b/packages/entry/src/peers/datagramCodec.ts
@@ -51,13 +51,13 @@
   'quota-refund': [['customer', 'string'], ['ageMs', 'number?']],
   'quota-collect': [['group', 'number'], ['leaseMs', 'number'], ['expiresAt', 'number'], ['reserve', 'flag']],
   'quota-lend': [
-    ['group', 'number'], ['expiresAt', 'number'], ['parts', 'number'], ['restedMs', 'number?'], ['reserve', 'flag?'], ['holder', 'string?'],
+    ['group', 'number'], ['expiresAt', 'number'], ['parts', 'number'], ['isLent', 'flag?'], ['reserve', 'flag?'], ['holder', 'string?'],
     ['heldMs', 'number?']
   ],
   'quota-return': [['group', 'number'], ['expiresAt', 'number']],
   'quota-claim': [['group', 'number'], ['claimedAt', 'number']],
   'quota-handover': [
-    ['group', 'number'], ['incarnation', 'number'], ['claimedAt', 'number'], ['share', 'number'], ['idleMs', 'number'],
+    ['group', 'number'], ['incarnation', 'number'], ['claimedAt', 'number'], ['fraction', 'number'],
     ['customers', 'strings'], ['tokens', 'numbers']
   ]
 }
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -369,6 +369,8 @@
     identity: { instance: settings.instance, incarnation: Date.now(), zone: settings.zone, host, cores: coreShare * speed, ...ports },
     seeds: settings.peers.seeds.map(parseHostPort),
     isFirstStart: settings.peers.firstStart,
+    // The clock of the process starts with it.
+    upMs: performance.now(),
     tolerances: tolerancesOf(settings),
     lapseMs: REGISTRATION_LAPSE_MS,
     lingerMs: settings.stop.lingerSeconds * 1000,
