--- a/packages/core/src/customers/quotaHolder.ts
+++ b/packages/core/src/customers/quotaHolder.ts
@@ -8,7 +8,8 @@
 import type { MemberOrder } from '../members/roles.js'
 import type { QuotaDecision } from './quotaBuckets.js'
 import { QUOTA_GROUPS, QuotaCandidates, quotaGroupOf, type QuotaCandidatesOptions } from './quotaCandidates.js'
-import { QuotaPool, type Handover } from './quotaPool.js'
+import { newQuotaGroup, type QuotaGroup } from './quotaGroup.js'
+import type { Handover } from './quotaPool.js'
 import type { QuotaLender } from './quotaLender.js'
 
 export interface QuotaHolderOptions extends QuotaCandidatesOptions {
@@ -16,27 +17,6 @@
   lender: QuotaLender
 }
 
-interface Group {
-  pool: QuotaPool
-  /** This entry counts for the group until this time even if it is not the first candidate, because others ask it. */
-  activeUntil: number
-  /** When each entry is asked for its part again. */
-  collectAt: Map<string, number>
-  /** The latest end of a loan that was asked for, and of those that were given back. */
-  requestedUntil: number
-  returnedUntil: number
-  /** Questions wait until this time for the answers to the first messages. */
-  collectingUntil: number
-  reserveUntil: number
-  /** Another holder that has parts, as their lenders report. */
-  otherHolder: { instance: string, at: number } | undefined
-  claimedAt: number
-  loggedFraction: number
-  /** When this entry has handed over to another one, and the other way round. */
-  handedOverAt: number
-  handedOverToAt: number
-}
-
 /** Several round trips between zones. */
 const COLLECTING_MS = 12
 /** An entry that has not answered is asked again after this time. */
@@ -61,26 +41,13 @@
 /** Loans that this entry has and gives. */
 export class QuotaHolder {
   private readonly _options: QuotaHolderOptions
-  private readonly _groups: Group[]
+  private readonly _groups: QuotaGroup[]
   private readonly _candidates: QuotaCandidates
 
   constructor (options: QuotaHolderOptions) {
     this._options = options
     this._candidates = new QuotaCandidates(options)
-    this._groups = Array.from({ length: QUOTA_GROUPS }, (_, number) => ({
-      pool: new QuotaPool(() => this._candidates.limitedCustomers(number)),
-      activeUntil: -Infinity,
-      collectAt: new Map(),
-      requestedUntil: -Infinity,
-      returnedUntil: -Infinity,
-      collectingUntil: -Infinity,
-      reserveUntil: -Infinity,
-      otherHolder: undefined,
-      claimedAt: -Infinity,
-      loggedFraction: 0,
-      handedOverAt: -Infinity,
-      handedOverToAt: -Infinity
-    }))
+    this._groups = Array.from({ length: QUOTA_GROUPS }, (_, number) => newQuotaGroup(() => this._candidates.limitedCustomers(number)))
   }
 
   /** Whether this entry asks others for their parts, which is due often. */
@@ -250,7 +217,7 @@
     }
   }
 
-  private _logFraction (group: Group, now: number): void {
+  private _logFraction (group: QuotaGroup, now: number): void {
     const fraction = group.pool.fractionAt(now)
     if (fraction === group.loggedFraction) return
     group.loggedFraction = fraction
--- a/packages/core/src/customers/quotas.ts
+++ b/packages/core/src/customers/quotas.ts
@@ -4,6 +4,7 @@
 import type { MemberOrder } from '../members/roles.js'
 import type { PeerMessage, QuotaAnswerMessage, QuotaAskMessage, QuotaRefundMessage } from '../members/peerMessages.js'
 import type { QuotaDecision } from './quotaBuckets.js'
+import { newQuestion, type Question } from './question.js'
 import { QuotaHolder, type QuotaHolderOptions } from './quotaHolder.js'
 import { QuotaLender, type QuotaLenderOptions } from './quotaLender.js'
 
@@ -35,23 +36,6 @@
 /** An answer is kept this long, so that a question which is sent once more does not count twice. */
 const ANSWER_RETENTION_MS = 500
 
-/** What a question waits for: the answer of another entry, or parts that are being lent to this one. */
-type Stage = 'asked' | 'passed-on' | 'collecting'
-
-interface Question {
-  number: number
-  customer: string
-  /** The entry that asks, with the number of its question; absent if a request of this entry asks. */
-  asker?: { member: Member, ask: number, key: string, isPassedOn: boolean }
-  /** How often it has been passed on so far. */
-  hops: number
-  stage: Stage
-  askedAt: number
-  sentAt: number
-  resentAt: number
-  holder: string
-}
-
 /** Asks holders for the requests of this entry, and answers for the customers that this entry counts. */
 export class Quotas {
   private readonly _options: QuotasOptions
@@ -297,7 +281,3 @@
     return undefined
   }
 }
-
-function newQuestion (number: number, customer: string, now: number): Question {
-  return { number, customer, hops: 0, stage: 'asked', askedAt: now, sentAt: now, resentAt: now, holder: '' }
-}
