--- a/review/lib-3/backend.mjs
+++ b/review/lib-3/backend.mjs
@@ -3,8 +3,12 @@
 import { createServer } from 'node:http'
 
 const HEARTBEAT_MS = 1500
+/** Requests that wait for a slot; one more is rejected. */
+const QUEUE_LENGTH = 4
 
 export class Backend {
+  /** Requests that have reached it: id and time. */
+  arrivals = []
   /** Requests that it has run: id, time and, if any, the tenant. */
   runs = []
   /** Headers that it adds to its answers. */
@@ -12,6 +16,8 @@
   #options
   #server = createServer({ keepAliveTimeout: 10_000 }, (request, response) => this.#handle(request, response))
   #running = 0
+  /** Start the requests that wait for a slot. */
+  #waiting = []
   #heartbeat
   #row
 
@@ -72,9 +78,9 @@
   }
 
   #handle (request, response) {
-    const { service, workMs, now, run } = this.#options
+    const { service, slots, workMs, now, run } = this.#options
     const expected = request.headers['expect-instance']
-    const load = () => `${this.#running},0,${this.#options.slots}`
+    const load = () => `${this.#running},${this.#waiting.length},${slots}`
     if (request.url === '/health') {
       const status = this.#row?.state === 'ready' ? 200 : 503
       return response.writeHead(status, { 'instance-id': this.id, 'server-load': load(), 'content-length': 0, ...this.extraHeaders }).end()
@@ -84,22 +90,33 @@
       return response.writeHead(421, { 'instance-id': this.id, 'request-id': id ?? '', 'content-length': 0 }).end()
     }
     if (id === undefined) return response.writeHead(400, { 'not-executed': '1', 'content-length': 0 }).end()
+    this.arrivals.push({ id, at: now() })
     const custom = run?.(request, response, this)
     if (custom) return
-    this.runs.push({ id, at: now(), tenant: request.headers.tenant })
-    this.#running += 1
-    setTimeout(() => {
-      const body = `${service} ${this.id} ${id}`
-      response.writeHead(200, {
-        'request-id': id,
-        'server-stamp': `${this.id}.${id}`,
-        'server-load': load(),
-        'content-length': Buffer.byteLength(body),
-        ...this.extraHeaders
+    const begin = () => {
+      this.runs.push({ id, at: now(), tenant: request.headers.tenant })
+      this.#running += 1
+      setTimeout(() => {
+        const body = `${service} ${this.id} ${id}`
+        response.writeHead(200, {
+          'request-id': id,
+          'server-stamp': `${this.id}.${id}`,
+          'server-load': load(),
+          'content-length': Buffer.byteLength(body),
+          ...this.extraHeaders
+        })
+        this.#running -= 1
+        response.end(body)
+        this.#waiting.shift()?.()
+      }, workMs)
+    }
+    if (this.#running < slots) begin()
+    else if (this.#waiting.length < QUEUE_LENGTH) {
+      this.#waiting.push(begin)
+      response.once('close', () => {
+        this.#waiting = this.#waiting.filter((other) => other !== begin)
       })
-      this.#running -= 1
-      response.end(body)
-    }, workMs)
+    } else response.writeHead(503, { 'request-id': id, 'not-executed': '1', 'server-load': load(), 'content-length': 0 }).end()
     request.resume()
   }
 }
