--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -11,9 +11,13 @@
   #version = 100
   #era = 1
   #waiting = new Set()
+  /** When the open reads of the feed began, by table. */
+  #feeds = new Map()
   #sockets = new Set()
+  /** Connections that have gone silent for good. */
+  #silent = new WeakSet()
   #startedAt = performance.now()
-  #server = createServer((request, response) => this.#handle(request, response))
+  #server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => this.#handle(request, response))
 
   /** Resolves with the address of the store. */
   listen (host) {
@@ -73,6 +77,17 @@
     this.isAway = false
   }
 
+  /** How long a read of a table's feed has been open. */
+  feedAgeMs (table) {
+    return performance.now() - (this.#feeds.get(table) ?? performance.now())
+  }
+
+  /** Lets all open connections go silent for good, without a reset. New ones work. */
+  silence () {
+    for (const socket of this.#sockets) this.#silent.add(socket)
+    return this.#sockets.size
+  }
+
   #reset () {
     for (const socket of this.#sockets) socket.resetAndDestroy()
   }
@@ -128,6 +143,7 @@
     const check = () => changes().length > 0 && end()
     const timer = setTimeout(end, Number(query.get('wait_ms')))
     this.#waiting.add(check)
+    this.#feeds.set(query.get('table'), performance.now())
     response.once('close', () => {
       clearTimeout(timer)
       this.#waiting.delete(check)
@@ -145,6 +161,7 @@
   }
 
   #answer (response, status, body) {
+    if (this.#silent.has(response.socket)) return
     const text = JSON.stringify({ ...body, ver: this.#version, now_ms: Math.round(performance.now() - this.#startedAt) })
     response.writeHead(status, { 'content-type': 'application/json', 'store-era': String(this.#era) })
     response.end(text)
