--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+set -u
+cd "$(dirname "$0")"
+exec node case.mjs
--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -8,6 +8,7 @@
 import { join } from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
 import { Backend } from './backend.mjs'
+import { Links } from './links.mjs'
 import { PlatformStore } from './store.mjs'
 
 const REPOSITORY = new URL('../../', import.meta.url).pathname
@@ -47,6 +48,8 @@
   store = new PlatformStore()
   backends = []
   entries = []
+  /** Relays between the machines, if the case asks for them. */
+  links = new Links()
   #lines = []
   #startedAt = performance.now()
   #folder = mkdtempSync(join(tmpdir(), 'review-'))
@@ -62,12 +65,12 @@
   }
 
   /** Starts the store with a first configuration, the backend servers and the entries. Resolves when all entries are ready. */
-  async start ({ configuration, backends, entryCount = 3, bounds = {} }) {
+  async start ({ configuration, backends, entryCount = 3, bounds = {}, hasLinks = false }) {
     const storeAddress = await this.store.listen(`${this.#network}.250`)
     this.store.put('op', 'config', configuration)
     for (const [index, options] of backends.entries()) await this.addBackend({ zone: ZONES[index % ZONES.length], ...options })
-    for (let index = 0; index < entryCount; index++) this.entries.push(await this.#newEntry(index, storeAddress, bounds))
-    const seeds = this.entries.slice(0, 3).map(({ fields }) => fields.listen.control)
+    for (let index = 0; index < entryCount; index++) this.entries.push(await this.#newEntry(index, storeAddress, bounds, hasLinks))
+    const seeds = this.entries.slice(0, 3).map(({ seed }) => seed)
     for (const entry of this.entries) {
       entry.fields.seeds = seeds
       this.startEntry(entry)
@@ -85,8 +88,10 @@
     return backend
   }
 
-  async #newEntry (index, storeAddress, bounds) {
+  async #newEntry (index, storeAddress, bounds, hasLinks) {
     const ip = `${this.#network}.${index + 1}`
+    /** With links, an entry listens for other entries at another address than the one that it announces. */
+    const peerIp = hasLinks ? `${this.#network}.${index + 101}` : ip
     const zone = ZONES[index % ZONES.length]
     const [front, ready, control, directory] = await freePorts(ip, 4)
     const fields = {
@@ -94,13 +99,18 @@
       ip,
       zone,
       limits: { cpu_share: 0.54, cores: 1, memory_mb: 350, max_fds: 4100 },
-      listen: { front: `${ip}:${front}`, ready: `${ip}:${ready}`, control: `${ip}:${control}`, directory: `${ip}:${directory}` },
+      listen: { front: `${ip}:${front}`, ready: `${ip}:${ready}`, control: `${peerIp}:${control}`, directory: `${ip}:${directory}` },
       seeds: [],
       bootstrap: true,
       platform_config: { address: storeAddress },
       bounds: { ...BOUNDS, ...bounds }
     }
-    return { name: fields.node_name, fields, host: ip, port: front, process: undefined }
+    const name = fields.node_name
+    if (hasLinks) {
+      await this.links.addEntry({ name, announced: ip, actual: peerIp, port: control })
+      fields.platform_config.address = await this.links.addStore({ name, host: ip, storeAddress })
+    }
+    return { name, zone, fields, seed: `${ip}:${control}`, host: ip, port: front, process: undefined }
   }
 
   /** Starts an entry with the command of the deploy file and settings from its template. */
@@ -179,6 +189,7 @@
       child.kill('SIGKILL')
     })))
     for (const backend of this.backends) backend.stop()
+    this.links.close()
     this.store.close()
     rmSync(this.#folder, { recursive: true, force: true })
   }
