--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -8,7 +8,7 @@
 const WORK_MS = 190
 const SLOTS = 2
 /** The feed of the configuration has been read for so long without a change when the connections go silent. */
-const FEED_AGE_MS = 300
+const FEED_AGE_MS = 380
 /** From its start to the removal of its predecessor's registration, a new server takes so long. */
 const RELEASE_MS = 200
 /** Servers that are leaving go on serving for so long. */
