Make the era of the store part of every position

Cause: a position in the store was its version alone. A restored store goes back and gives versions out again. Replica.replace and Replica.merge drop rows whose version is not above the highest one seen, and the feed goes on after rows that were never read.

A new era is read whole; an older one changes nothing; heartbeats teach the entries that the store does not answer.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -16,7 +16,7 @@
   }
 })
 
-const SHARED = ['errors', 'invariants', 'random', 'hash', 'effects', 'events']
+const SHARED = ['errors', 'invariants', 'random', 'hash', 'position', 'effects', 'events']
 
 module.exports = {
   forbidden: [
@@ -35,7 +35,7 @@
     folder('core/src/budgets', []),
     folder('core/src/configuration', SHARED),
     folder('core/src/customers', [...SHARED, 'budgets', 'configuration', 'members']),
-    folder('core/src/discovery', []),
+    folder('core/src/discovery', ['position']),
     folder('core/src/store', [...SHARED, 'configuration', 'discovery', 'members', 'rollouts']),
     folder('core/src/members', [...SHARED, 'budgets', 'discovery', 'placement', 'store/row', 'rollouts/answerCounts']),
     folder('core/src/placement', [...SHARED, 'budgets', 'configuration', 'discovery', 'members', 'rollouts', 'customers/servedFractions']),
--- a/packages/core/src/discovery/catalog.ts
+++ b/packages/core/src/discovery/catalog.ts
@@ -1,4 +1,5 @@
 /** The registered backend servers, as read from their registrations in the store. */
+import { isLater } from '../position.js'
 import type { RegisteredServer } from './registeredServer.js'
 
 /** A change of one registration. Without `entry`, the registration was removed or cannot be read. */
@@ -8,6 +9,8 @@
   entry?: RegisteredServer
   /** Whether the row exists but does not describe a usable server. */
   unreadable?: boolean
+  /** Whether the store has lost the row, because it was restored from a copy. The server may write it again. */
+  isLost?: boolean
 }
 
 export interface CatalogOptions {
@@ -19,6 +22,8 @@
 
 /** Bounds memory. Servers that left this long ago are no longer registered. */
 const MAX_LEAVING_SERVERS = 10_000
+/** Bounds memory. A store that is restored from a copy holds registrations of servers that left seconds before. */
+const MAX_DEPARTED_SERVERS = 2000
 
 interface ListedServer {
   entry: RegisteredServer
@@ -31,6 +36,8 @@
   private readonly _listed = new Map<string, ListedServer>()
   /** Incarnations that stated in an answer that they are leaving, by server id. */
   private readonly _leaving = new Map<string, string>()
+  /** Registrations that were removed, by server id. */
+  private readonly _departed = new Map<string, RegisteredServer>()
   private readonly _idsByAddress = new Map<string, Set<string>>()
   private readonly _options: CatalogOptions
   private _storeRecoveredAt = -Infinity
@@ -52,6 +59,7 @@
   apply (changes: readonly RegistrationChange[], now: number): Set<string> {
     const affected = new Set<string>()
     for (const change of changes) {
+      if (change.entry && this._isOutdated(change.entry)) continue
       const previous = this._listed.get(change.id)?.entry
       if (previous) this._addServicesAt(previous, affected)
       if (change.entry) this._register(change.entry)
@@ -116,6 +124,7 @@
     const entry = this._withStatedState(registered)
     const previous = this._listed.get(entry.id)?.entry
     if (previous) this._removeAddress(previous)
+    this._departed.delete(entry.id)
     this._listed.set(entry.id, { entry, lapsesAt: Infinity })
     const address = addressOf(entry)
     const ids = this._idsByAddress.get(address)
@@ -126,7 +135,7 @@
   private _unregister (change: RegistrationChange, now: number): void {
     const listed = this._listed.get(change.id)
     if (!listed) return
-    const returnBy = this._storeRecoveredAt + this._options.lapseMs
+    const returnBy = (change.isLost ? now : this._storeRecoveredAt) + this._options.lapseMs
     if (change.unreadable || listed.entry.state === 'draining' || now >= returnBy) return this._remove(change.id)
     listed.lapsesAt = returnBy
   }
@@ -136,6 +145,25 @@
     if (!listed) return
     this._listed.delete(id)
     this._removeAddress(listed.entry)
+    this._departed.delete(id)
+    this._departed.set(id, listed.entry)
+    if (this._departed.size > MAX_DEPARTED_SERVERS) this._departed.delete(this._departed.keys().next().value!)
+  }
+
+  /** Whether a server has made a later statement than a row, which was written late or comes from a copy of the store. */
+  private _isOutdated (row: RegisteredServer): boolean {
+    const listed = this._listed.get(row.id)?.entry
+    const known = listed ?? this._departed.get(row.id)
+    if (!known) return false
+    const isRestored = (row.era ?? 0) > (known.era ?? 0)
+    if (row.incarnation !== known.incarnation) {
+      return isRestored && row.bornAt !== undefined && known.bornAt !== undefined && row.bornAt < known.bornAt
+    }
+    if (row.sequence !== undefined && known.sequence !== undefined) {
+      return row.sequence < known.sequence || (row.sequence === known.sequence && isRestored && !listed)
+    }
+    if (!isRestored) return false
+    return (known.state === 'draining' && row.state !== 'draining') || (!listed && row.version === known.version)
   }
 
   private _removeAddress (entry: RegisteredServer): void {
@@ -148,7 +176,7 @@
   /** Whether a server owns its address: the newest registration of an address for a declared service does. */
   private _ownsAddress (entry: RegisteredServer): boolean {
     for (const other of this._at(entry)) {
-      if (other.version > entry.version && this._options.isDeclared(other.service)) return false
+      if (isLater(other, entry) && this._options.isDeclared(other.service)) return false
     }
     return true
   }
--- a/packages/core/src/discovery/registeredServer.ts
+++ b/packages/core/src/discovery/registeredServer.ts
@@ -19,6 +19,10 @@
   coldMs: number
   /** Version of the store row that the registration was read from. */
   version: number
+  /** Era of the store that the version belongs to; absent if it is 0. */
+  era?: number
+  /** Number of the server's own statement; increases as long as the incarnation runs. Absent if it states none. */
+  sequence?: number
   /** Version of its software, if it states one. */
   softwareVersion?: string
   /** Time of day at which it started, in milliseconds since 1970, if it states that. */
@@ -45,6 +49,8 @@
   state: z.enum(['ready', 'draining']),
   coldMs: z.number().min(0).max(MAX_COLD_MS),
   version: z.int().min(0),
+  era: z.int().min(0).optional(),
+  sequence: z.number().optional(),
   softwareVersion: z.string().max(MAX_SOFTWARE_VERSION_LENGTH).optional(),
   bornAt: z.number().min(0).optional()
 })
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -189,6 +189,8 @@
   zone?: string
   table?: TableName
   version?: number
+  /** Era of the store that the version belongs to. */
+  era?: number
   softwareVersion?: string
   revision?: number
   count?: number
@@ -232,6 +234,7 @@
   | 'store-regained'
   | 'store-takeover'
   | 'store-history-lost'
+  | 'store-restored'
   | 'quota-holder-silent'
   | 'quota-handed-over'
   | 'quota-counting'
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -88,6 +88,7 @@
   private readonly _options: EntryOptions
   private readonly _outbox = new Outbox()
   private readonly _joining: Joining
+  private readonly _rowApplier: RowApplier
   private readonly _registration: Registration
   private readonly _schedulerClient: SchedulerClient
   private readonly _statements: ServerStatements
@@ -135,7 +136,7 @@
       serversChanged: (services, now) => this._serversChanged(services, now)
     })
     const { rollouts } = this
-    const ledger = new RowApplier({
+    this._rowApplier = new RowApplier({
       reader: options.reader,
       declarations,
       catalog,
@@ -150,7 +151,7 @@
       random,
       isSeed: seeds.length === 0 || seeds.some(({ host, port }) => host === identity.host && port === identity.peerPort),
       followsOptionalTables: () => rollouts.areFollowed,
-      rowsChanged: (table, rows, now) => ledger.apply(table, rows, now),
+      rowsChanged: (changes, now) => this._rowApplier.apply(changes, now),
       storeRecovered: (now) => catalog.storeRecovered(now)
     })
     this._registration = new Registration({ roster, roles, outbox, random })
@@ -258,7 +259,7 @@
 
   /** The query for the rows that this entry does not have yet. */
   get stateQuery (): PeerStateQuery {
-    return { versions: this.replication.versions }
+    return this.replication.query
   }
 
   /** Whether this entry knows what the store holds, so that it can work for the others even if callers cannot reach it. */
@@ -289,6 +290,7 @@
     this.roster.tick(now)
     this._joining.tick(now)
     this.replication.tick(now)
+    this._rowApplier.tick(now)
     this._expire(now)
     this.requests.tick(now)
     this.quotas.tick(now)
--- a/packages/core/src/members/peerMessages.ts
+++ b/packages/core/src/members/peerMessages.ts
@@ -61,6 +61,8 @@
   version: number
   /** Version of the last change of the table; a replica of this version or a later one lacks none. Absent in older versions' messages. */
   changedAt?: number
+  /** Era of the store that the versions belong to; absent in older versions' messages. */
+  era?: number
   /** Time since the replica was last confirmed to be current, in milliseconds. */
   ageMs: number
 }
@@ -87,6 +89,8 @@
   table: TableName
   from: number
   to: number
+  /** Era of the store that the versions belong to; absent in older versions' messages. */
+  era?: number
   ageMs: number
   rows: StoredRow[]
   relay?: RelayRange
@@ -338,6 +342,8 @@
   /** Version after which the changes start; absent if `rows` has all rows of the table. */
   from?: number
   version: number
+  /** Era of the store that the versions belong to; absent in older versions' messages. */
+  era?: number
   ageMs: number
   rows: StoredRow[]
 }
@@ -345,4 +351,6 @@
 /** Replica versions that the requesting member already has. */
 export interface PeerStateQuery {
   versions: Partial<Record<TableName, number>>
+  /** Eras of the store that the versions belong to; absent in older versions' messages. */
+  eras?: Partial<Record<TableName, number>>
 }
--- a/packages/core/src/store/changePublisher.ts
+++ b/packages/core/src/store/changePublisher.ts
@@ -3,6 +3,7 @@
 import type { RowsMessage, ReplicaStatus, LeaderHeartbeat } from '../members/peerMessages.js'
 import type { Roster } from '../members/roster.js'
 import type { Random } from '../random.js'
+import { isLater, type Position } from '../position.js'
 import { fanOut, fanOutRange, type Branch } from './fanOut.js'
 import type { StoredRow, TableName } from './row.js'
 
@@ -17,6 +18,8 @@
   table: TableName
   from: number
   to: number
+  /** Era of the store that the versions belong to. */
+  era: number
   rows: StoredRow[]
 }
 
@@ -26,7 +29,7 @@
 /** Sends change broadcasts and heartbeats to all members: directly in a small cluster, through relays in a large one. */
 export class ChangePublisher {
   private readonly _options: ChangePublisherOptions
-  private readonly _published = new Map<TableName, number>()
+  private readonly _published = new Map<TableName, Position>()
   private _delayed: Array<TableChanges & { dueAt: number }> = []
 
   constructor (options: ChangePublisherOptions) {
@@ -52,7 +55,7 @@
 
   /** Forwards a broadcast from another entry to the members of its relay range, if it has one. */
   relay (message: LeaderHeartbeat | RowsMessage): void {
-    if (message.kind === 'rows') this._published.set(message.table, Math.max(message.to, this._published.get(message.table) ?? 0))
+    if (message.kind === 'rows') this._notePublished(message.table, { era: message.era, version: message.to })
     if (!message.relay) return
     const { roster, random, outbox } = this._options
     for (const { to, relay } of fanOutRange(roster.alive, message.relay, roster.self.instance, random)) {
@@ -65,13 +68,19 @@
     const due = this._delayed.filter(({ dueAt }) => now >= dueAt)
     this._delayed = this._delayed.filter(({ dueAt }) => now < dueAt)
     for (const changes of due) {
-      if ((this._published.get(changes.table) ?? 0) < changes.to) this._send(changes)
+      const published = this._published.get(changes.table)
+      if (!published || isLater({ era: changes.era, version: changes.to }, published)) this._send(changes)
     }
   }
 
-  private _send ({ table, from, to: version, rows }: TableChanges): void {
+  private _notePublished (table: TableName, position: Position): void {
+    const published = this._published.get(table)
+    if (!published || isLater(position, published)) this._published.set(table, position)
+  }
+
+  private _send ({ table, from, to: version, era, rows }: TableChanges): void {
     for (const { to, relay } of this._allBranches()) {
-      this._options.outbox.send(to, { kind: 'rows', table, from, to: version, ageMs: 0, rows, relay })
+      this._options.outbox.send(to, { kind: 'rows', table, from, to: version, era, ageMs: 0, rows, relay })
     }
   }
 
--- a/packages/core/src/store/replica.ts
+++ b/packages/core/src/store/replica.ts
@@ -1,4 +1,5 @@
 /** An entry's copy of a store table. An older version of a row never replaces a newer one. */
+import { isLater, type Position } from '../position.js'
 import type { StoredRow } from './row.js'
 
 /** The result of merging changes into a replica. */
@@ -7,6 +8,8 @@
   | { kind: 'merged', changed: StoredRow[] }
   /** Nothing was merged: the replica lacks changes that precede these. */
   | { kind: 'gap' }
+  /** Nothing was merged: the changes are of an older era than the replica. */
+  | { kind: 'outdated' }
 
 /** Maximum number of removed rows that a replica remembers, so that it can report removals to peers with a slightly older version. */
 const MAX_REMOVED_ROWS = 2000
@@ -15,6 +18,7 @@
 export class Replica {
   private readonly _rows = new Map<string, StoredRow>()
   private readonly _removedVersions = new Map<string, number>()
+  private _era = 0
   private _version: number | undefined
   /** The oldest version from which a complete list of changes can be given. */
   private _oldestDiffVersion = 0
@@ -26,6 +30,16 @@
     return this._version
   }
 
+  /** The era of the store that the rows come from. */
+  get era (): number {
+    return this._era
+  }
+
+  /** The position of the store up to which the replica has all changes; undefined before the first read. */
+  get position (): Position | undefined {
+    return this._version === undefined ? undefined : { era: this._era, version: this._version }
+  }
+
   /** The version of the last change, or a later version from which on there was none. */
   get changedAt (): number {
     return this._changedAt
@@ -40,12 +54,15 @@
     return this._rows
   }
 
-  /** Replaces the content by the complete table as of a version. Returns the changed rows. */
-  replace (rows: readonly StoredRow[], version: number, at: number): StoredRow[] {
-    if (this._version !== undefined && version < this._version) return []
+  /** Replaces the content by the complete table as of a position. Returns the changed rows; in a new era, these are all rows. */
+  replace (rows: readonly StoredRow[], { era = 0, version }: Position, at: number): StoredRow[] {
+    const isFirst = this._version === undefined
+    if (!isFirst && isLater(this.position!, { era, version })) return []
+    const previousKeys = [...this._rows.keys()]
+    if (isFirst || era > this._era) this._startEra(era)
     const changed: StoredRow[] = []
     const presentKeys = new Set(rows.map((row) => row.key))
-    for (const key of this._rows.keys()) {
+    for (const key of previousKeys) {
       if (!presentKeys.has(key)) this._applyRow({ key, version }, changed)
     }
     for (const row of rows) this._applyRow(row, changed)
@@ -55,9 +72,11 @@
     return changed
   }
 
-  /** Merges all changes after version `from`, up to and including version `to`. */
-  merge (rows: readonly StoredRow[], from: number, to: number, at: number): MergeResult {
-    if (this._version === undefined || from > this._version) return { kind: 'gap' }
+  /** Merges all changes after version `from`, up to and including version `to`, of an era. */
+  merge (rows: readonly StoredRow[], from: number, to: number, at: number, era = 0): MergeResult {
+    if (this._version === undefined || era > this._era) return { kind: 'gap' }
+    if (era < this._era) return { kind: 'outdated' }
+    if (from > this._version) return { kind: 'gap' }
     const changed: StoredRow[] = []
     for (const row of rows) {
       if (row.version <= this._version) continue
@@ -68,9 +87,9 @@
     return { kind: 'merged', changed }
   }
 
-  /** Returns all changes after a version, or undefined when removals since then may have been evicted. */
-  changesSince (version: number): StoredRow[] | undefined {
-    if (this._version === undefined || version < this._oldestDiffVersion) return undefined
+  /** Returns all changes after a position, or undefined when it is of another era or removals since then may have been evicted. */
+  changesSince ({ era = 0, version }: Position): StoredRow[] | undefined {
+    if (this._version === undefined || era !== this._era || version < this._oldestDiffVersion) return undefined
     const changes: StoredRow[] = []
     for (const row of this._rows.values()) {
       if (row.version > version) changes.push(row)
@@ -81,6 +100,14 @@
     return changes
   }
 
+  /** Versions of the previous era say nothing about rows of this one. */
+  private _startEra (era: number): void {
+    this._era = era
+    this._version = undefined
+    this._removedVersions.clear()
+    for (const [key, row] of this._rows) this._rows.set(key, { ...row, version: -1 })
+  }
+
   private _applyRow (row: StoredRow, changed: StoredRow[]): void {
     const known = this._rows.get(row.key)?.version ?? this._removedVersions.get(row.key) ?? -1
     if (row.version <= known) return
--- a/packages/core/src/store/storeWatch.ts
+++ b/packages/core/src/store/storeWatch.ts
@@ -6,6 +6,7 @@
 import type { Roster } from '../members/roster.js'
 import type { Random } from '../random.js'
 import { ChangePublisher } from './changePublisher.js'
+import { isLater, type Position } from '../position.js'
 import { Replica } from './replica.js'
 import { ReplicaPull } from './replicaPull.js'
 import { OPTIONAL_TABLES, TABLES, type StoredRow, type TableName } from './row.js'
@@ -13,10 +14,10 @@
 
 /** The result of reading a table from the store. */
 export type TableReadResult =
-  | { kind: 'whole', rows: StoredRow[], version: number }
-  | { kind: 'changes', rows: StoredRow[], from: number, version: number }
+  | { kind: 'whole', rows: StoredRow[], version: number, era?: number }
+  | { kind: 'changes', rows: StoredRow[], from: number, version: number, era?: number }
   /** The store no longer has all the requested changes. */
-  | { kind: 'history-lost' }
+  | { kind: 'history-lost', era?: number }
   | { kind: 'unavailable', reason: string }
 
 export interface StoreWatchOptions {
@@ -29,11 +30,21 @@
   /** Whether the optional tables are followed at present. */
   followsOptionalTables: () => boolean
   /** Called with the changed rows of a table. */
-  rowsChanged: (table: TableName, rows: StoredRow[], now: number) => void
+  rowsChanged: (changes: ChangedRows, now: number) => void
   /** Called when the store is reachable again after an outage. */
   storeRecovered: (now: number) => void
 }
 
+/** Changed rows of a table. */
+export interface ChangedRows {
+  table: TableName
+  rows: readonly StoredRow[]
+  /** Era of the store that the rows come from. */
+  era: number
+  /** Whether the store was restored from a copy, so that rows which are missing there may be written again. */
+  isRestored: boolean
+}
+
 /** Replica of one table and the state of its reads from the store. */
 interface TableReader {
   replica: Replica
@@ -45,6 +56,8 @@
   nextReadAt: number
   failures: number
   needsFullRead: boolean
+  /** A later era that one answer of the store has stated. Its rows are used once a second answer confirms it. */
+  statedEra?: number
 }
 
 /** Pause after an answer with changes, so that changes which follow shortly are read together. */
@@ -139,22 +152,27 @@
     const reader = this._readers.get(table)!
     reader.reading = false
     if (result.kind === 'unavailable') return this._readFailed(table, reader, result.reason, now)
+    const { era = reader.replica.era } = result
+    if (reader.replica.version !== undefined && era < reader.replica.era) return this._readFailed(table, reader, 'older era', now)
     this._readSucceeded(table, reader, now)
     this._access.readSucceeded()
+    if (this._isFirstOfEra(reader, result.kind, era)) return this._eraStated(table, era, now)
     if (result.kind === 'history-lost') {
       this._options.outbox.log({ decision: 'store-history-lost', table, version: reader.replica.version })
       reader.needsFullRead = true
       return
     }
-    const before = reader.replica.version
+    reader.statedEra = undefined
+    const before = reader.replica.position
     const changed = result.kind === 'whole'
-      ? this._replaceRows(table, reader, result.rows, result.version, now)
-      : this._mergeRows(table, result.rows, result.from, result.version, now, now)
+      ? this._replaceRows(table, reader, result.rows, { era, version: result.version }, now)
+      : this._mergeRows(table, result.rows, result.from, { era, version: result.version }, now, now)
     reader.needsFullRead = reader.replica.version === undefined
     if (changed.length > 0) {
       reader.nextReadAt = now + CHANGE_BATCH_PAUSE_MS
-      const changes = { table, from: before ?? 0, to: reader.replica.version!, rows: changed }
-      if (before !== undefined) this._publisher.publish(changes, this._access.isStandby, now)
+      const changes = { table, from: before?.version ?? 0, to: reader.replica.version!, era, rows: changed }
+      // Other entries cannot merge changes across eras. The next heartbeat makes them pull the rows of a new one.
+      if (before?.era === era) this._publisher.publish(changes, this._access.isStandby, now)
     } else {
       reader.latencyMs = Math.max(0, now - reader.startedAt - reader.waitMs)
     }
@@ -165,12 +183,16 @@
   heartbeatReceived (from: Member, heartbeat: LeaderHeartbeat, now: number): void {
     this._publisher.relay(heartbeat)
     let behind = false
-    const isCurrent = heartbeat.tables.every(({ ageMs }) => ageMs < this._access.timing.takeoverAgeMs)
+    const isCurrent = heartbeat.tables.every(({ table, era = 0, ageMs }) => {
+      return ageMs < this._access.timing.takeoverAgeMs && era >= this.replicaOf(table).era
+    })
     if (isCurrent && heartbeat.reader !== undefined) this._access.confirmedBy(heartbeat.reader)
-    for (const { table, version, changedAt = version, ageMs } of heartbeat.tables) {
+    for (const { table, version, changedAt = version, era = 0, ageMs } of heartbeat.tables) {
       const { replica } = this._readers.get(table)!
-      if (replica.version === undefined || replica.version < changedAt) behind = true
-      else if (replica.version <= version) this._mergeRows(table, [], changedAt, version, now - ageMs, now)
+      if (!replica.position || isLater({ era, version: changedAt }, replica.position)) behind = true
+      else if (era === replica.era && replica.version! <= version) {
+        this._mergeRows(table, [], changedAt, { era, version }, now - ageMs, now)
+      }
     }
     if (behind) this._pull.pull(from, now)
   }
@@ -178,19 +200,19 @@
   /** Handles changed rows that another entry broadcast. */
   received (from: Member, message: RowsMessage, now: number): void {
     this._publisher.relay(message)
-    const { table, rows, to, ageMs } = message
+    const { table, rows, to, era = 0, ageMs } = message
     const { replica } = this._readers.get(table)!
-    if (replica.version === undefined || message.from > replica.version) return this._pull.pull(from, now)
-    this._mergeRows(table, rows, message.from, to, now - ageMs, now)
+    if (!replica.position || isLater({ era, version: message.from }, replica.position)) return this._pull.pull(from, now)
+    this._mergeRows(table, rows, message.from, { era, version: to }, now - ageMs, now)
   }
 
   /** Handles the replicas, or the changes to them, that another entry returned on request. */
   pulled (state: PeerState, now: number): void {
     this._pull.succeeded()
-    for (const { table, from, version, ageMs, rows } of state.tables) {
+    for (const { table, from, version, era = 0, ageMs, rows } of state.tables) {
       const reader = this._readers.get(table)!
-      if (from !== undefined) this._mergeRows(table, rows, from, version, now - ageMs, now)
-      else this._replaceRows(table, reader, rows, version, now - ageMs, now)
+      if (from !== undefined) this._mergeRows(table, rows, from, { era, version }, now - ageMs, now)
+      else this._replaceRows(table, reader, rows, { era, version }, now - ageMs, now)
       if (reader.replica.version !== undefined) reader.needsFullRead = false
     }
   }
@@ -201,11 +223,12 @@
     for (const [table, { replica }] of this._readers) {
       if (replica.version === undefined) continue
       const from = query.versions[table]
-      const changes = from === undefined ? undefined : replica.changesSince(from)
+      const changes = from === undefined ? undefined : replica.changesSince({ era: query.eras?.[table], version: from })
       states.push({
         table,
         from: changes && from,
         version: replica.version,
+        era: replica.era,
         ageMs: now - replica.confirmedAt,
         rows: changes ?? [...replica.rows.values()]
       })
@@ -213,11 +236,21 @@
     return states
   }
 
-  /** The versions of this entry's replicas. */
-  get versions (): PeerStateQuery['versions'] {
-    const versions: PeerStateQuery['versions'] = {}
-    for (const [table, { replica }] of this._readers) versions[table] = replica.version
-    return versions
+  /** The positions of this entry's replicas. */
+  get query (): PeerStateQuery {
+    const query: Required<PeerStateQuery> = { versions: {}, eras: {} }
+    for (const [table, { replica }] of this._readers) {
+      query.versions[table] = replica.version
+      query.eras[table] = replica.era
+    }
+    return query
+  }
+
+  /** The latest era of the store that this entry has read or received. */
+  get era (): number {
+    let era = 0
+    for (const { replica } of this._readers.values()) era = Math.max(era, replica.era)
+    return era
   }
 
   private _isFollowed (table: TableName): boolean {
@@ -269,19 +302,37 @@
     this._options.roster.announce({ reachesStore: true }, now)
   }
 
-  private _replaceRows (table: TableName, reader: TableReader, rows: StoredRow[], version: number, at: number, now = at): StoredRow[] {
-    this._reportRecovery(reader.replica, at, now)
-    const changed = reader.replica.replace(rows, version, at)
-    if (changed.length > 0) this._options.rowsChanged(table, changed, now)
+  /** Whether an answer of the store states a later era for the first time, or does not hold all rows of it. */
+  private _isFirstOfEra ({ replica, statedEra }: TableReader, kind: TableReadResult['kind'], era: number): boolean {
+    return replica.version !== undefined && era > replica.era && (kind !== 'whole' || statedEra !== era)
+  }
+
+  /** Reads all tables again after an answer has stated a later era. */
+  private _eraStated (table: TableName, era: number, now: number): void {
+    this._options.outbox.log({ decision: 'store-restored', table, era, version: this.replicaOf(table).version })
+    for (const reader of this._readers.values()) {
+      if (reader.replica.version === undefined || reader.replica.era >= era) continue
+      reader.statedEra = era
+      reader.needsFullRead = true
+      reader.nextReadAt = now
+    }
+  }
+
+  private _replaceRows (table: TableName, reader: TableReader, rows: StoredRow[], to: Position, at: number, now = at): StoredRow[] {
+    const { replica } = reader
+    const isRestored = replica.version !== undefined && to.era! > replica.era
+    this._reportRecovery(replica, at, now)
+    const changed = replica.replace(rows, to, at)
+    if (changed.length > 0) this._options.rowsChanged({ table, rows: changed, era: replica.era, isRestored }, now)
     return changed
   }
 
-  private _mergeRows (table: TableName, rows: StoredRow[], from: number, to: number, at: number, now: number): StoredRow[] {
+  private _mergeRows (table: TableName, rows: StoredRow[], from: number, to: Position, at: number, now: number): StoredRow[] {
     const { replica } = this._readers.get(table)!
     this._reportRecovery(replica, at, now)
-    const merge = replica.merge(rows, from, to, at)
-    if (merge.kind === 'gap') return []
-    if (merge.changed.length > 0) this._options.rowsChanged(table, merge.changed, now)
+    const merge = replica.merge(rows, from, to.version, at, to.era)
+    if (merge.kind !== 'merged') return []
+    if (merge.changed.length > 0) this._options.rowsChanged({ table, rows: merge.changed, era: replica.era, isRestored: false }, now)
     return merge.changed
   }
 
@@ -300,8 +351,8 @@
     this._nextHeartbeatAt = now + this._access.timing.heartbeatPeriodMs
     const tables: ReplicaStatus[] = []
     for (const [table, { replica }] of this._readers) {
-      const { version, changedAt, confirmedAt } = replica
-      if (version !== undefined) tables.push({ table, version, changedAt, ageMs: Math.round(now - confirmedAt) })
+      const { version, changedAt, era, confirmedAt } = replica
+      if (version !== undefined) tables.push({ table, version, changedAt, era, ageMs: Math.round(now - confirmedAt) })
     }
     this._publisher.sendHeartbeat(tables, reader)
   }
--- a/packages/entry/src/peers/datagramCodec.ts
+++ b/packages/entry/src/peers/datagramCodec.ts
@@ -28,7 +28,10 @@
   compare: [['groups', 'numbers'], ['keys', 'numbers'], ['states', 'numbers']],
   want: [['keys', 'numbers']],
   'watch-beat': [['tables', 'tables'], ['relay', 'relay?'], ['reader', 'string?']],
-  rows: [['table', 'table'], ['from', 'number'], ['to', 'number'], ['ageMs', 'number'], ['rows', 'rows'], ['relay', 'relay?']],
+  rows: [
+    ['table', 'table'], ['from', 'number'], ['to', 'number'], ['ageMs', 'number'], ['rows', 'rows'],
+    ['relay', 'relay?'], ['era', 'number?']
+  ],
   place: [
     ['ask', 'number'], ['label', 'string'], ['service', 'string'], ['cell', 'string'], ['route', 'string'], ['purpose', 'purpose'],
     ['priority', 'number'],
@@ -180,14 +183,17 @@
 }
 
 function encodeServer (server: RegisteredServer): unknown[] {
-  const { id, incarnation, service, host, port, zone, slots, state, coldMs, version, softwareVersion } = server
+  const { id, incarnation, service, host, port, zone, slots, state, coldMs, version, softwareVersion, era } = server
   const fields = [id, incarnation, service, host, port, zone, slots, state, coldMs, version]
+  if (era !== undefined) return [...fields, softwareVersion ?? null, era]
   return softwareVersion === undefined ? fields : [...fields, softwareVersion]
 }
 
 function decodeServer (item: unknown): RegisteredServer | undefined {
   if (!Array.isArray(item)) return undefined
-  const [id, incarnation, service, host, port, zone, slots, state, coldMs, version, softwareVersion] = item as unknown[]
-  const fields = { id, incarnation, service, host, port, zone, slots, state, coldMs, version }
-  return parseRegisteredServer(softwareVersion === undefined ? fields : { ...fields, softwareVersion })
+  const [id, incarnation, service, host, port, zone, slots, state, coldMs, version, softwareVersion, era] = item as unknown[]
+  const fields: Record<string, unknown> = { id, incarnation, service, host, port, zone, slots, state, coldMs, version }
+  if (softwareVersion !== undefined && softwareVersion !== null) fields.softwareVersion = softwareVersion
+  if (era !== undefined) fields.era = era
+  return parseRegisteredServer(fields)
 }
--- a/packages/entry/src/peers/fieldSchemas.ts
+++ b/packages/entry/src/peers/fieldSchemas.ts
@@ -5,7 +5,11 @@
 /** A row of a table, or a record of its removal. */
 export const rowSchema = z.object({ key: z.string(), version: z.number(), value: z.string().optional() })
 
-const replicaSchema = z.object({ table: tableSchema, version: z.number(), changedAt: z.number().optional(), ageMs: z.number() })
+/** Era of the store; absent in older versions' messages. */
+export const eraSchema = z.int().min(0).optional()
+const replicaSchema = z.object({
+  table: tableSchema, version: z.number(), changedAt: z.number().optional(), era: eraSchema, ageMs: z.number()
+})
 const loadSchema = z.object({ running: z.number(), waiting: z.number(), slots: z.number(), pace: z.number() })
 const outcomeSchema = z.enum([
   'answered', 'failed', 'failed-below', 'shed', 'moved', 'unreachable', 'lost', 'cancelled', 'unused'
--- a/packages/entry/src/peers/peerRouter.ts
+++ b/packages/entry/src/peers/peerRouter.ts
@@ -2,7 +2,7 @@
 import { initTRPC } from '@trpc/server'
 import * as z from 'zod'
 import type { PeerState, PeerStateQuery } from '@gooseberryspan/core'
-import { rowSchema, tableSchema } from './fieldSchemas.js'
+import { eraSchema, rowSchema, tableSchema } from './fieldSchemas.js'
 
 /** The part of an entry that the interface needs. */
 export interface PeerStateSource {
@@ -10,7 +10,8 @@
 }
 
 const querySchema = z.object({
-  versions: z.object({ declarations: z.number().optional(), servers: z.number().optional() })
+  versions: z.object({ declarations: z.number().optional(), servers: z.number().optional() }),
+  eras: z.object({ declarations: eraSchema, servers: eraSchema }).optional()
 })
 
 /** Schema of the state that another entry returns; also used to validate it. */
@@ -19,6 +20,7 @@
     table: tableSchema,
     from: z.number().optional(),
     version: z.number(),
+    era: eraSchema,
     ageMs: z.number(),
     rows: z.array(rowSchema)
   }))
--- a/packages/standins/src/store/rowEngine.ts
+++ b/packages/standins/src/store/rowEngine.ts
@@ -2,7 +2,15 @@
 import type { StoredRow } from '@gooseberryspan/core'
 import type { RowName, Transaction } from '@gooseberryspan/store'
 
-interface RowChange extends RowName {
+/** A change of one row. */
+export interface RowChange extends RowName {
+  version: number
+}
+
+/** A copy of all rows, from which the store can be restored. */
+export interface StoreCopy {
+  tables: Map<string, Map<string, StoredRow>>
+  history: RowChange[]
   version: number
 }
 
@@ -11,11 +19,17 @@
 
 /** The data and transactions of the simulated store, without simulated faults. */
 export class RowEngine {
-  private readonly _tables = new Map<string, Map<string, StoredRow>>()
+  private _tables = new Map<string, Map<string, StoredRow>>()
   private readonly _listeners = new Set<() => void>()
   private _history: RowChange[] = []
   private _version = 0
   private _historyStart = 0
+  private _era = 1
+
+  /** Number of the store's history; rises by one with each restore. */
+  get era (): number {
+    return this._era
+  }
 
   get version (): number {
     return this._version
@@ -50,7 +64,7 @@
 
   /** Returns the rows of a table that changed after a version. */
   changes (table: string, after: number): RowChanges {
-    if (after < this._historyStart) return 'history-lost'
+    if (after < this._historyStart || after > this._version) return 'history-lost'
     const changedVersions = new Map<string, number>()
     for (const change of this._history) {
       if (change.table === table && change.version > after) changedVersions.set(change.key, change.version)
@@ -78,6 +92,22 @@
     this._history = []
   }
 
+  /** Copies all rows as they are now. */
+  copy (): StoreCopy {
+    return { tables: structuredClone(this._tables), history: [...this._history], version: this._version }
+  }
+
+  /** Goes back to a copy. Later changes are lost, and their versions are given out again. */
+  restore (copy: StoreCopy): void {
+    const { tables, history, version } = structuredClone(copy)
+    this._tables = tables
+    this._history = history
+    this._version = version
+    this._historyStart = Math.min(this._historyStart, version)
+    this._era += 1
+    for (const notify of [...this._listeners]) notify()
+  }
+
   private _set ({ table, key }: RowName, value: string | undefined): void {
     const rows = this._table(table)
     if (value === undefined) {
--- a/packages/standins/src/store/storeServer.ts
+++ b/packages/standins/src/store/storeServer.ts
@@ -151,7 +151,9 @@
   private _send (response: ServerResponse, status: number, text: string): void {
     if (response.destroyed) return
     this.load.bytesOut += text.length
-    response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
+    response.writeHead(status, {
+      'content-type': 'application/json', 'content-length': Buffer.byteLength(text), 'store-era': this.engine.era
+    })
     response.end(text)
   }
 }
--- a/packages/store/src/defaultStoreProtocol.ts
+++ b/packages/store/src/defaultStoreProtocol.ts
@@ -17,6 +17,8 @@
 
 /** Encodes calls and decodes responses as JSON over HTTP. */
 export class DefaultStoreProtocol implements StoreProtocol {
+  readonly eraHeader = 'store-era'
+
   rows (table: string, { from, limit }: { from?: string, limit?: number }): StoreCall {
     const query = new URLSearchParams({ table })
     if (from !== undefined) query.set('from', from)
--- a/packages/store/src/httpClient.ts
+++ b/packages/store/src/httpClient.ts
@@ -1,5 +1,5 @@
 /** HTTP client for small JSON requests, with a time-out and a limit on the request rate. */
-import { Agent, request, type IncomingMessage } from 'node:http'
+import { Agent, request, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { TokenBucket } from '@gooseberryspan/core'
 import { StoreBudgetSpent, StoreUnavailable } from './errors.js'
@@ -15,6 +15,7 @@
 
 export interface HttpResponse {
   status: number
+  headers: IncomingHttpHeaders
   text: string
 }
 
@@ -56,7 +57,7 @@
         collect(answer, fail, (text) => {
           clearTimeout(timer)
           this._countBytes(socket)
-          resolve({ status: answer.statusCode ?? 0, text })
+          resolve({ status: answer.statusCode ?? 0, headers: answer.headers, text })
         })
       })
       const timeoutMs = this._options.timeoutMs + extraMs
--- a/packages/store/src/httpStore.ts
+++ b/packages/store/src/httpStore.ts
@@ -8,11 +8,16 @@
 /** An HTTP response and the meaning of its status. */
 interface InterpretedResponse extends HttpResponse {
   meaning: StatusMeaning
+  /** Era of the store; undefined if the response does not state one. */
+  era: number | undefined
 }
 
 /** Maximum number of pages read of one table, so that a faulty store that always announces more rows cannot cause an endless loop. */
 const MAX_PAGES = 1000
 
+/** A whole number that a double represents exactly. */
+const ERA_PATTERN = /^\d{1,15}$/
+
 /** Sends the calls of a store protocol over one connection pool. */
 export class HttpStore implements Store {
   private readonly _client: HttpClient
@@ -27,13 +32,17 @@
   async readAll (table: string): Promise<TableSnapshot> {
     const rows = new Map<string, StoredRow>()
     let version: number | undefined
+    let era: number | undefined
     let from: string | undefined
     for (let count = 0; count < MAX_PAGES; count++) {
-      const page = this._protocol.readPage(await this._fetchText(this._protocol.rows(table, { from })))
+      const answer = await this._send(this._protocol.rows(table, { from }))
+      const page = this._parse(answer, () => this._protocol.readPage(answer.text))
+      if (version !== undefined && answer.era !== era) throw new StoreUnavailable('the store was restored while %s was read', table)
+      era = answer.era
       version ??= page.version
       for (const row of page.rows) rows.set(row.key, row)
       const last = page.rows.at(-1)?.key
-      if (!page.more || last === undefined || last === from) return { rows: [...rows.values()], version }
+      if (!page.more || last === undefined || last === from) return { rows: [...rows.values()], version, era }
       from = last
     }
     throw new StoreUnavailable('table %s has no end', table)
@@ -47,9 +56,9 @@
 
   async waitForChanges (table: string, after: number, waitMs: number): Promise<ChangesResult> {
     const answer = await this._send(this._protocol.changes(table, after, waitMs), waitMs)
-    if (answer.meaning === 'history-lost') return { kind: 'history-lost' }
+    if (answer.meaning === 'history-lost') return { kind: 'history-lost', era: answer.era }
     const { rows, version } = this._parse(answer, () => this._protocol.readPage(answer.text))
-    return { kind: 'changes', rows, version }
+    return { kind: 'changes', rows, version, era: answer.era }
   }
 
   async transact (transaction: Transaction): Promise<TransactionResult> {
@@ -81,7 +90,7 @@
 
   private async _send (call: StoreCall, waitMs = 0): Promise<InterpretedResponse> {
     const answer = await this._client.send(call.method, call.path, { body: call.body, extraMs: waitMs })
-    return { ...answer, meaning: this._protocol.meaningOf(answer.status) }
+    return { ...answer, meaning: this._protocol.meaningOf(answer.status), era: parseEra(answer.headers[this._protocol.eraHeader]) }
   }
 
   private _parse<T> (answer: InterpretedResponse, read: () => T): T {
@@ -93,3 +102,8 @@
     }
   }
 }
+
+/** Returns the era that a header states, or undefined if there is none or it is not a whole number. */
+function parseEra (text: string | string[] | undefined): number | undefined {
+  return typeof text === 'string' && ERA_PATTERN.test(text) ? Number(text) : undefined
+}
--- a/packages/store/src/protocol.ts
+++ b/packages/store/src/protocol.ts
@@ -22,6 +22,8 @@
 
 /** Calls and formats of a store. `readPage` and `readVersion` throw when a response is not in the expected format. */
 export interface StoreProtocol {
+  /** Header of all responses with the era of the store, a whole number that rises with each restore from a copy. In lower case. */
+  readonly eraHeader: string
   rows (table: string, range: { from?: string, limit?: number }): StoreCall
   changes (table: string, after: number, waitMs: number): StoreCall
   transact (transaction: Transaction): StoreCall
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -26,13 +26,15 @@
   rows: StoredRow[]
   /** The version of the store at which the rows were read. */
   version: number
+  /** The era that the version belongs to; absent if the store did not state it. */
+  era?: number
 }
 
 /** Result of reading the changes of a table. */
 export type ChangesResult =
-  | { kind: 'changes', rows: StoredRow[], version: number }
+  | { kind: 'changes', rows: StoredRow[], version: number, era?: number }
   /** The store no longer has all changes since the requested version. */
-  | { kind: 'history-lost' }
+  | { kind: 'history-lost', era?: number }
 
 /** Every method rejects with `StoreUnavailable` when the store does not answer in time. */
 export interface Store {
--- a/tests/platform.spec.ts
+++ b/tests/platform.spec.ts
@@ -117,6 +117,7 @@
       state: 'ready',
       coldMs: 40,
       version: 7,
+      sequence: 4,
       softwareVersion: 'v1',
       bornAt: 1768123340169
     })
--- a/tests/store.spec.ts
+++ b/tests/store.spec.ts
@@ -39,18 +39,26 @@
     const changes = store.waitForChanges('servers', 1, 2000)
     server.engine.put('declarations', 'x', '1')
     server.engine.remove('servers', 'a')
-    expect(await changes).to.deep.equal({ kind: 'changes', rows: [{ key: 'a', version: 3 }], version: 3 })
+    expect(await changes).to.deep.equal({ kind: 'changes', rows: [{ key: 'a', version: 3 }], version: 3, era: 1 })
   })
 
   it('should be told that nothing has changed once the wait is over', async () => {
-    expect(await store.waitForChanges('servers', 0, 30)).to.deep.equal({ kind: 'changes', rows: [], version: 0 })
+    expect(await store.waitForChanges('servers', 0, 30)).to.deep.equal({ kind: 'changes', rows: [], version: 0, era: 1 })
   })
 
   it('should learn that history was dropped', async () => {
     server.engine.put('servers', 'a', '1')
     server.engine.put('servers', 'b', '1')
     server.engine.dropHistory()
-    expect(await store.waitForChanges('servers', 1, 0)).to.deep.equal({ kind: 'history-lost' })
+    expect(await store.waitForChanges('servers', 1, 0)).to.deep.equal({ kind: 'history-lost', era: 1 })
+  })
+
+  it('should learn that the store was restored, and that its versions have gone back', async () => {
+    const copy = server.engine.copy()
+    server.engine.put('servers', 'a', '1')
+    server.engine.restore(copy)
+    expect(await store.waitForChanges('servers', 1, 0)).to.deep.equal({ kind: 'history-lost', era: 2 })
+    expect(await store.readAll('servers')).to.deep.equal({ rows: [], version: 0, era: 2 })
   })
 
   it('should make changes on their conditions only', async () => {
@@ -101,7 +109,7 @@
 
   beforeEach(() => {
     replica = new Replica()
-    replica.replace([row('a', 3, 'x'), row('b', 5, 'y')], 10, 0)
+    replica.replace([row('a', 3, 'x'), row('b', 5, 'y')], { version: 10 }, 0)
   })
 
   it('should not take changes that leave others out', () => {
@@ -118,19 +126,19 @@
 
   it('should not let a late whole reading undo anything', () => {
     replica.merge([row('c', 14, 'z')], 10, 14, 1)
-    expect(replica.replace([row('a', 3, 'x')], 12, 2)).to.deep.equal([])
+    expect(replica.replace([row('a', 3, 'x')], { version: 12 }, 2)).to.deep.equal([])
     expect(replica.rows.has('c')).to.equal(true)
   })
 
   it('should tell what is gone when it reads the whole table again', () => {
-    const changed = replica.replace([row('b', 5, 'y')], 20, 1)
+    const changed = replica.replace([row('b', 5, 'y')], { version: 20 }, 1)
     expect(changed).to.deep.equal([{ key: 'a', version: 20 }])
   })
 
   it('should tell another copy what it lacks, removals too', () => {
     replica.merge([row('a', 12)], 10, 12, 1)
-    expect(replica.changesSince(10)).to.deep.equal([{ key: 'a', version: 12 }])
-    expect(replica.changesSince(3)).to.equal(undefined)
+    expect(replica.changesSince({ version: 10 })).to.deep.equal([{ key: 'a', version: 12 }])
+    expect(replica.changesSince({ version: 3 })).to.equal(undefined)
   })
 })
 
