Reject grants of servers that are known to be unregistered

Cause: an entry checked a granted server for draining only. A server that has left and one that has just started and is not known here yet both have no entry in the catalog, and the latter must be used at once.

Change: the position of the registration in a grant tells them apart: one that is not later than what this entry has read, and is missing here, was removed. The rule is applied to every grant, first, retry or hedge, and once more when a connection is established. An entry turns away from a scheduler that grants servers whose removal has been known here for half a second.

--- a/packages/core/src/discovery/catalog.ts
+++ b/packages/core/src/discovery/catalog.ts
@@ -1,5 +1,5 @@
 /** The registered backend servers, as read from their registrations in the store. */
-import { isLater } from '../position.js'
+import { isLater, type Position } from '../position.js'
 import type { RegisteredServer } from './registeredServer.js'
 
 /** A change of one registration. Without `entry`, the registration was removed or cannot be read. */
@@ -31,13 +31,21 @@
   lapsesAt: number
 }
 
+interface DepartedServer {
+  entry: RegisteredServer
+  removedAt: number
+}
+
+/** Why a server must not get a request that another entry has granted to it. */
+export type Unfitness = 'draining' | 'unregistered'
+
 /** Registered servers by id, and the registrations of each address. */
 export class Catalog {
   private readonly _listed = new Map<string, ListedServer>()
   /** Incarnations that stated in an answer that they are leaving, by server id. */
   private readonly _leaving = new Map<string, string>()
   /** Registrations that were removed, by server id. */
-  private readonly _departed = new Map<string, RegisteredServer>()
+  private readonly _departed = new Map<string, DepartedServer>()
   private readonly _idsByAddress = new Map<string, Set<string>>()
   private readonly _options: CatalogOptions
   private _storeRecoveredAt = -Infinity
@@ -93,7 +101,7 @@
     for (const [id, { entry, lapsesAt }] of this._listed) {
       if (now < lapsesAt) continue
       this._addServicesAt(entry, affected)
-      this._remove(id)
+      this._remove(id, now)
     }
     return affected
   }
@@ -102,6 +110,24 @@
     return this._listed.get(id)?.entry
   }
 
+  /**
+   * Returns why a server must not be used, as far as the registrations up to a position tell; undefined if it may be. `server` is what
+   * another entry knows of it, which may be older or newer: a registration after the position is not known here yet.
+   */
+  unfitness (server: RegisteredServer, position: Position | undefined): Unfitness | undefined {
+    const { id, incarnation } = server
+    if (this._leaving.get(id) === incarnation) return 'draining'
+    const listed = this._listed.get(id)?.entry
+    if (!listed) return position && !isLater(server, position) ? 'unregistered' : undefined
+    if (listed.incarnation === incarnation) return listed.state === 'draining' ? 'draining' : undefined
+    return isLater(server, listed) ? undefined : 'unregistered'
+  }
+
+  /** Time since the registration of a server was removed; 0 if that is not known. */
+  removedMs (id: string, now: number): number {
+    return now - (this._departed.get(id)?.removedAt ?? now)
+  }
+
   /** Servers of a service that are ready and own their address. */
   readyOf (service: string): RegisteredServer[] {
     const ready: RegisteredServer[] = []
@@ -136,24 +162,24 @@
     const listed = this._listed.get(change.id)
     if (!listed) return
     const returnBy = (change.isLost ? now : this._storeRecoveredAt) + this._options.lapseMs
-    if (change.unreadable || listed.entry.state === 'draining' || now >= returnBy) return this._remove(change.id)
+    if (change.unreadable || listed.entry.state === 'draining' || now >= returnBy) return this._remove(change.id, now)
     listed.lapsesAt = returnBy
   }
 
-  private _remove (id: string): void {
+  private _remove (id: string, now: number): void {
     const listed = this._listed.get(id)
     if (!listed) return
     this._listed.delete(id)
     this._removeAddress(listed.entry)
     this._departed.delete(id)
-    this._departed.set(id, listed.entry)
+    this._departed.set(id, { entry: listed.entry, removedAt: now })
     if (this._departed.size > MAX_DEPARTED_SERVERS) this._departed.delete(this._departed.keys().next().value!)
   }
 
   /** Whether a server has made a later statement than a row, which was written late or comes from a copy of the store. */
   private _isOutdated (row: RegisteredServer): boolean {
     const listed = this._listed.get(row.id)?.entry
-    const known = listed ?? this._departed.get(row.id)
+    const known = listed ?? this._departed.get(row.id)?.entry
     if (!known) return false
     const isRestored = (row.era ?? 0) > (known.era ?? 0)
     if (row.incarnation !== known.incarnation) {
--- a/packages/core/src/effects.ts
+++ b/packages/core/src/effects.ts
@@ -201,6 +201,7 @@
   | 'arrived'
   | 'scheduler-asked'
   | 'scheduler-silent'
+  | 'scheduler-outdated'
   | 'granted'
   | 'dispatched'
   | 'attempt-ended'
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -2,7 +2,8 @@
 import { Declarations } from './configuration/declarations.js'
 import { WeightedPicker } from './configuration/weightedPicker.js'
 import { Quotas } from './customers/quotas.js'
-import { Catalog } from './discovery/catalog.js'
+import { Catalog, type Unfitness } from './discovery/catalog.js'
+import type { RegisteredServer } from './discovery/registeredServer.js'
 import { Outbox, type Effect } from './effects.js'
 import type { AttemptEvent, Event, ProbedEvent, ReceivedEvent } from './events.js'
 import { Invariants, type InvariantReporter } from './invariants.js'
@@ -180,6 +181,7 @@
       random,
       heldServers: (service, now) => holds.heldOf(service, now),
       connectedServers: (service, now) => this.requests.connectedServers(service, now),
+      removedMs: (server, now) => catalog.removedMs(server, now),
       limitsOf: (service, cell, now) => limits.ofAll(cells.usable(service, cell), now),
       timedOut: (schedulerRequest, now) => this.requests.schedulerTimedOut(schedulerRequest, now)
     })
@@ -194,7 +196,6 @@
     const cellSelector = new CellSelector({ cells, roster, random })
     this.requests = new RequestHandler({
       declarations,
-      catalog,
       roster,
       host: this.host,
       schedulerClient: this._schedulerClient,
@@ -205,7 +206,8 @@
       limits,
       plannedStop: this.plannedStop,
       rollouts,
-      quotas: this.quotas
+      quotas: this.quotas,
+      unfitness: (server) => this._unfitness(server)
     })
     this.host.connect(this.requests)
     this.quotas.connect(this.requests)
@@ -267,6 +269,15 @@
     return this.replication.hasAllTables && this.declarations.gateway !== undefined
   }
 
+  /** Whether a request that still waits for a connection to a server may be sent there. */
+  mayUse (server: RegisteredServer): boolean {
+    return this._unfitness(server) === undefined
+  }
+
+  private _unfitness (server: RegisteredServer): Unfitness | undefined {
+    return this.catalog.unfitness(server, this.replication.replicaOf('servers').position)
+  }
+
   private _handleEvent (event: Event, now: number): void {
     switch (event.kind) {
       case 'tick': return this._tick(now)
--- a/packages/core/src/requests/requestHandler.ts
+++ b/packages/core/src/requests/requestHandler.ts
@@ -3,7 +3,7 @@
 import type { Quotas, QuotaListener } from '../customers/quotas.js'
 import type { Declarations } from '../configuration/declarations.js'
 import { isLimited } from '../configuration/gateway.js'
-import type { Catalog } from '../discovery/catalog.js'
+import type { Unfitness } from '../discovery/catalog.js'
 import type { RegisteredServer } from '../discovery/registeredServer.js'
 import type { Outbox, FailureReason } from '../effects.js'
 import type { Invariants } from '../invariants.js'
@@ -25,7 +25,6 @@
 
 export interface RequestHandlerOptions {
   declarations: Declarations
-  catalog: Catalog
   roster: Roster
   host: SchedulerHost
   schedulerClient: SchedulerClient
@@ -37,6 +36,8 @@
   plannedStop: PlannedStop
   rollouts: Pick<Rollouts, 'standingOf' | 'trialOf'>
   quotas: Quotas
+  /** Why a server must get no request, as far as this entry knows. */
+  unfitness: (server: RegisteredServer) => Unfitness | undefined
 }
 
 /** The handler hedges, that is, asks for a second server, once an answer takes this many times as long as expected. */
@@ -164,6 +165,7 @@
       this._options.outbox.log({ decision: 'grant-unfit', request: request.spec.label, server: server.id, reason: rejection })
       this._report(request, pending, server.id, UNUSED_REPORT, now)
       if (rejection !== 'paused') request.avoid.push(server.id)
+      if (rejection === 'unregistered') this._options.schedulerClient.grantedDeparted(pending.scheduler, server.id, now)
       const isFirst = pending.purpose === 'first' || pending.purpose === 'diverted'
       if (pending.purpose !== 'hedge') this._requestServer(request, isFirst ? 'again' : pending.purpose, now)
       return
@@ -317,10 +319,10 @@
     request: OpenRequest, schedulerRequest: SchedulerRequest, { server, expectedMs, basis }: Omit<Grant, 'request'>, now: number
   ): void {
     const { spec } = request
-    const { invariants, outbox, declarations, catalog } = this._options
+    const { invariants, outbox, declarations } = this._options
     invariants.check('at-most-once', spec.route.repeatable || !request.mayHaveRun, () => `${spec.label} may have run`)
     invariants.check('zone-out', declarations.zoneIsIn(server.zone), () => `${server.id} is in ${server.zone}, which is evacuated`)
-    invariants.check('leaving-server', catalog.get(server.id)?.state !== 'draining', () => `${server.id} is leaving`)
+    invariants.check('leaving-server', !this._options.unfitness(server), () => `${server.id} is leaving`)
     this._lastAttemptId += 1
     const attempt: Attempt = { id: this._lastAttemptId, ask: schedulerRequest, server, sentAt: now, expectedMs }
     request.attempts.set(attempt.id, attempt)
@@ -402,10 +404,11 @@
 
   /** Returns why the granted server must not be used, or undefined: this entry may have newer information than the scheduler. */
   private _grantRejectionReason (request: OpenRequest, server: RegisteredServer, now: number): string | undefined {
-    const { declarations, catalog, holds, plannedStop, rollouts } = this._options
+    const { declarations, holds, plannedStop, rollouts } = this._options
     if (!plannedStop.leavesTimeFor(request.expiresAt)) return 'stopping'
     if (!declarations.zoneIsIn(server.zone)) return 'zone-out'
-    if (catalog.get(server.id)?.state === 'draining') return 'draining'
+    const unfitness = this._options.unfitness(server)
+    if (unfitness !== undefined) return unfitness
     if (holds.isHeld(server, now)) return 'held'
     if (rollouts.standingOf(server, now) === 'excluded') return 'other-version'
     if (server.service !== request.spec.service) return 'other-service'
--- a/packages/core/src/requests/schedulerClient.ts
+++ b/packages/core/src/requests/schedulerClient.ts
@@ -23,6 +23,8 @@
   connectedServers: (service: string, now: number) => string[]
   /** The limits that the servers of a cell have stated. */
   limitsOf: (service: string, cell: string, now: number) => StatedLimit[]
+  /** Time since the registration of a server was removed. */
+  removedMs: (server: string, now: number) => number
   /** Called when the scheduler did not answer in time, or no longer knows the request. */
   timedOut: (schedulerRequest: SchedulerRequest, now: number) => void
 }
@@ -47,11 +49,16 @@
 /** An unreachable scheduler is not asked for this time. */
 const SCHEDULER_BACKOFF_MS = 500
 
+/** A scheduler that grants a server whose registration was removed this long ago does not receive changes. Usually they take 50 ms. */
+const OUTDATED_VIEW_MS = 500
+
 /** Sends scheduler requests, withdrawals and attempt reports to the scheduler of a cell. */
 export class SchedulerClient {
   private readonly _options: SchedulerClientOptions
   private readonly _pending = new Map<number, PendingRequest>()
   private readonly _skippedUntil = new Map<string, number>()
+  /** Schedulers with an outdated view of the servers, with the time until which they are not asked. */
+  private readonly _outdatedUntil = new Map<string, number>()
   private readonly _lastReceivedAt = new Map<string, number>()
   private readonly _ramp: SchedulerRamp
 
@@ -66,7 +73,8 @@
     const schedulers = roles.schedulersOf(cell)
     if (!this._ramp.asksSchedulers(schedulers.length > 0, now)) return roster.self.instance
     for (const member of schedulers.slice(0, MAX_SCHEDULERS)) {
-      if ((this._skippedUntil.get(member.instance) ?? -Infinity) <= now) return member.instance
+      const skippedUntil = this._skippedUntil.get(member.instance) ?? -Infinity
+      if (skippedUntil <= now && (this._outdatedUntil.get(member.instance) ?? -Infinity) <= now) return member.instance
     }
     return roster.self.instance
   }
@@ -81,6 +89,15 @@
     if (to) outbox.send(to, message)
   }
 
+  /** Handles the grant of a server that is no longer registered. Turns away from a scheduler that has not learned this for some time. */
+  grantedDeparted (scheduler: string, server: string, now: number): void {
+    const { roster, outbox, removedMs } = this._options
+    const tookMs = removedMs(server, now)
+    if (scheduler === roster.self.instance || tookMs < OUTDATED_VIEW_MS) return
+    this._outdatedUntil.set(scheduler, now + SCHEDULER_BACKOFF_MS)
+    outbox.log({ decision: 'scheduler-outdated', instance: scheduler, server, tookMs: Math.round(tookMs) })
+  }
+
   /** Notifies the scheduler that the server is no longer needed. */
   withdraw (withdrawn: SchedulerRequest, now: number): void {
     const { roster, host, outbox } = this._options
--- a/packages/entry/src/backend/backendClient.ts
+++ b/packages/entry/src/backend/backendClient.ts
@@ -18,6 +18,8 @@
   /** Answers up to this size are buffered, in bytes; larger ones are streamed. */
   holdBytes: number
   now: () => number
+  /** Whether a server may still get a request now that the connection is established. It may have left meanwhile. */
+  mayUse: (server: RegisteredServer) => boolean
   /** Called when an answer was discarded because its head is not valid HTTP. */
   onMalformed: (request: string, server: string, reason: string) => void
   /** Called with the bytes that an attempt has sent and received. */
@@ -87,7 +89,7 @@
       setHost: false
     })
     this._calls.set(effect.attempt, call)
-    const connection = trackConnection(call, this._options.connectMs)
+    const connection = trackConnection(call, this._options.connectMs, () => this._options.mayUse(effect.server))
     limitHead(call)
     countBytes(call, (bytes) => this._options.onExchanged?.(effect.server, bytes))
     call.on('response', (message) => {
@@ -247,8 +249,11 @@
   })
 }
 
-/** Tracks whether the connection was established; if it was not, no byte of the request was sent. */
-function trackConnection (call: ClientRequest, connectMs: number): { established: () => boolean } {
+/**
+ * Tracks whether the connection was established; if it was not, no byte of the request was sent. Node calls this listener before it sends
+ * the request, so that a server which left meanwhile gets nothing.
+ */
+function trackConnection (call: ClientRequest, connectMs: number, mayUse: () => boolean): { established: () => boolean } {
   let made = false
   call.on('socket', (socket) => {
     if (!socket.connecting) {
@@ -257,8 +262,9 @@
     }
     const timeout = new InputTimeout(connectMs, () => call.destroy(new Error('backend server did not accept the connection in time')))
     socket.once('connect', () => {
-      made = true
       timeout.clear()
+      if (mayUse()) made = true
+      else call.destroy(new Error('backend server has left'))
     })
     socket.once('close', () => timeout.clear())
   })
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,7 @@
 /** The entry process and its components. */
+export * from './backend/backendClient.js'
 export * from './caller/body.js'
+export * from './caller/exchange.js'
 export * from './caller/holdBudget.js'
 export * from './dialect.js'
 export * from './directory/directoryListener.js'
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -204,6 +204,7 @@
     connectMs: settings.backends.connectMs,
     holdBytes: MAX_BUFFERED_ANSWER_BYTES,
     now,
+    mayUse: (server) => built.core.mayUse(server),
     onExchanged: (server, bytes) => zoneTraffic.exchanged(server.zone, bytes),
     onMalformed: (request, server, reason) => log.info({ decision: 'answer-malformed', request, server, reason })
   })
