Tell an outage of the store from silent connections, pauses and cuts of an entry

After a pause or a cut of an entry it kept removed servers for 2.3 s as well.

Cause: when a replica had not been confirmed for 2 s, the next confirmation counted as the end of an outage, in which registrations may lapse. Time-outs on old connections, a pause of the process and a cut of the instance lead to the same age.

Change: an outage needs evidence, a refusal or a new connection that fails, here or at another entry; readers report it with the rows that follow, and an entry believes that only if it has known no answer for as long itself. A steady period that another entry reports refutes it.

--- a/packages/core/src/discovery/catalog.ts
+++ b/packages/core/src/discovery/catalog.ts
@@ -29,6 +29,8 @@
   entry: RegisteredServer
   /** Time until which a registration that lapsed during a store outage remains valid. */
   lapsesAt: number
+  /** Whether a restored store has lost the registration. */
+  isLost?: boolean
 }
 
 interface DepartedServer {
@@ -63,6 +65,12 @@
     this._storeRecoveredAt = now
   }
 
+  /** Records that there was no outage: registrations that are missing were removed by their servers, or lapsed long after these ended. */
+  outageRefuted (now: number): void {
+    this._storeRecoveredAt = -Infinity
+    for (const listed of this._listed.values()) if (listed.lapsesAt < Infinity && !listed.isLost) listed.lapsesAt = now
+  }
+
   /** Applies registration changes. Returns the affected services. */
   apply (changes: readonly RegistrationChange[], now: number): Set<string> {
     const affected = new Set<string>()
@@ -164,6 +172,7 @@
     const returnBy = (change.isLost ? now : this._storeRecoveredAt) + this._options.lapseMs
     if (change.unreadable || listed.entry.state === 'draining' || now >= returnBy) return this._remove(change.id, now)
     listed.lapsesAt = returnBy
+    listed.isLost = change.isLost
   }
 
   private _remove (id: string, now: number): void {
--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -153,7 +153,8 @@
       isSeed: seeds.length === 0 || seeds.some(({ host, port }) => host === identity.host && port === identity.peerPort),
       followsOptionalTables: () => rollouts.areFollowed,
       rowsChanged: (changes, now) => this._rowApplier.apply(changes, now),
-      storeRecovered: (now) => catalog.storeRecovered(now)
+      storeRecovered: (at) => catalog.storeRecovered(at),
+      outageRefuted: (now) => catalog.outageRefuted(now)
     })
     this._registration = new Registration({ roster, roles, outbox, random })
     this._joining = new Joining({ roster, seeds, outbox, random, isFirstStart: options.isFirstStart })
@@ -256,7 +257,7 @@
 
   /** Returns the rows of the store's tables that another entry does not have yet. */
   stateFor (query: PeerStateQuery, now: number): PeerState {
-    return { tables: this.replication.stateFor(query, now) }
+    return this.replication.stateFor(query, now)
   }
 
   /** The query for the rows that this entry does not have yet. */
@@ -339,6 +340,7 @@
   /** Handles the end of a pause of this process, which may have missed changes. */
   private _processResumed (now: number): void {
     this.requests.processResumed(now)
+    this.replication.processResumed(now)
     this.rollouts.versions.processResumed(now)
   }
 
--- a/packages/core/src/members/peerMessages.ts
+++ b/packages/core/src/members/peerMessages.ts
@@ -79,6 +79,10 @@
   tables: ReplicaStatus[]
   /** Instance that has just read the store, which may not be the sender of this copy; absent if no read is the reason for the message. */
   reader?: string
+  /** Time since the store came back from an outage, in milliseconds, if that was a short time ago. */
+  recoveredMs?: number
+  /** Time for which the store has been read without a long interruption, in milliseconds; absent in older versions' messages. */
+  steadyMs?: number
   /** Members to which the receiver forwards this message. */
   relay?: RelayRange
 }
@@ -94,6 +98,8 @@
   ageMs: number
   rows: StoredRow[]
   relay?: RelayRange
+  /** Time since the store came back from an outage, in milliseconds, if that was a short time ago. */
+  recoveredMs?: number
 }
 
 /** Asks the scheduler of a service for a server. Times are remaining times, in milliseconds. */
@@ -334,6 +340,10 @@
 /** A member's replicas of the store tables, for a member that joins or has stale replicas. */
 export interface PeerState {
   tables: ReplicaState[]
+  /** Time since the store came back from an outage, in milliseconds, if that was a short time ago. */
+  recoveredMs?: number
+  /** Time for which the store has been read without a long interruption, in milliseconds; absent in older versions' messages. */
+  steadyMs?: number
 }
 
 /** One replica: the changes after the requester's version, or all rows. */
--- a/packages/core/src/store/changePublisher.ts
+++ b/packages/core/src/store/changePublisher.ts
@@ -6,6 +6,7 @@
 import { isLater, type Position } from '../position.js'
 import { fanOut, fanOutRange, type Branch } from './fanOut.js'
 import type { StoredRow, TableName } from './row.js'
+import type { OutageReport } from './storeOutage.js'
 
 export interface ChangePublisherOptions {
   roster: Roster
@@ -14,7 +15,7 @@
 }
 
 /** All changes of a table after version `from`, up to and including version `to`. */
-export interface TableChanges {
+export interface TableChanges extends OutageReport {
   table: TableName
   from: number
   to: number
@@ -48,9 +49,9 @@
   }
 
   /** Broadcasts a heartbeat; `reader` is this entry if a read of the store is the reason for it. */
-  sendHeartbeat (tables: ReplicaStatus[], reader: string | undefined): void {
+  sendHeartbeat (tables: ReplicaStatus[], reader: string | undefined, report: OutageReport): void {
     const { outbox } = this._options
-    for (const { to, relay } of this._allBranches()) outbox.send(to, { kind: 'watch-beat', tables, relay, reader })
+    for (const { to, relay } of this._allBranches()) outbox.send(to, { kind: 'watch-beat', tables, relay, reader, ...report })
   }
 
   /** Forwards a broadcast from another entry to the members of its relay range, if it has one. */
@@ -78,9 +79,9 @@
     if (!published || isLater(position, published)) this._published.set(table, position)
   }
 
-  private _send ({ table, from, to: version, era, rows }: TableChanges): void {
+  private _send ({ table, from, to: version, era, rows, recoveredMs }: TableChanges): void {
     for (const { to, relay } of this._allBranches()) {
-      this._options.outbox.send(to, { kind: 'rows', table, from, to: version, era, ageMs: 0, rows, relay })
+      this._options.outbox.send(to, { kind: 'rows', table, from, to: version, era, ageMs: 0, rows, relay, recoveredMs })
     }
   }
 
--- a/packages/core/src/store/storeWatch.ts
+++ b/packages/core/src/store/storeWatch.ts
@@ -11,6 +11,7 @@
 import { ReplicaPull } from './replicaPull.js'
 import { OPTIONAL_TABLES, TABLES, type StoredRow, type TableName } from './row.js'
 import { StoreAccess } from './storeAccess.js'
+import { StoreOutage, type OutageReport } from './storeOutage.js'
 
 /** The result of reading a table from the store. */
 export type TableReadResult =
@@ -18,7 +19,8 @@
   | { kind: 'changes', rows: StoredRow[], from: number, version: number, era?: number }
   /** The store no longer has all the requested changes. */
   | { kind: 'history-lost', era?: number }
-  | { kind: 'unavailable', reason: string }
+  /** `isRefusal`: a new connection failed or got no answer, or the store refused the call. */
+  | { kind: 'unavailable', reason: string, isRefusal?: boolean }
 
 export interface StoreWatchOptions {
   roster: Roster
@@ -31,8 +33,10 @@
   followsOptionalTables: () => boolean
   /** Called with the changed rows of a table. */
   rowsChanged: (changes: ChangedRows, now: number) => void
-  /** Called when the store is reachable again after an outage. */
-  storeRecovered: (now: number) => void
+  /** Called when the store is known to have come back from an outage at a time. */
+  storeRecovered: (at: number) => void
+  /** Called when the store turns out to have been reachable during what was taken for an outage. */
+  outageRefuted: (now: number) => void
 }
 
 /** Changed rows of a table. */
@@ -80,6 +84,7 @@
   private readonly _access: StoreAccess
   private readonly _publisher: ChangePublisher
   private readonly _pull: ReplicaPull
+  private readonly _outage: StoreOutage
   private readonly _readers = new Map<TableName, TableReader>()
   private _startedAt: number | undefined
   private _nextHeartbeatAt = 0
@@ -95,6 +100,9 @@
     this._access = new StoreAccess({ roster, roles })
     this._publisher = new ChangePublisher({ roster, outbox, random })
     this._pull = new ReplicaPull({ roster, outbox, random })
+    this._outage = new StoreOutage({
+      roster, outageAgeMs: () => this._access.timing.outageAgeMs, recovered: options.storeRecovered, refuted: options.outageRefuted
+    })
     for (const table of TABLES) {
       this._readers.set(table, {
         replica: new Replica(), reading: false, startedAt: 0, waitMs: 0, latencyMs: 0, nextReadAt: 0, failures: 0, needsFullRead: true
@@ -142,6 +150,11 @@
     else if (now >= this._reportDueAt || (now >= this._nextHeartbeatAt && this._isLeader)) this._sendHeartbeat(now)
   }
 
+  /** Handles the end of a pause of this process. */
+  processResumed (now: number): void {
+    this._outage.processResumed(now)
+  }
+
   /** Handles the number of entries that were running before this one started. */
   entriesExpected (entryCount: number, now: number): void {
     this._initialReadAt ??= this._options.random.next() * entryCount < MAX_INITIAL_READERS ? now + READY_ENTRY_WAIT_MS : Infinity
@@ -151,9 +164,13 @@
   tableRead (table: TableName, result: TableReadResult, now: number): void {
     const reader = this._readers.get(table)!
     reader.reading = false
-    if (result.kind === 'unavailable') return this._readFailed(table, reader, result.reason, now)
+    if (result.kind === 'unavailable') {
+      if (result.isRefusal) this._outage.refused(reader.startedAt)
+      return this._readFailed(table, reader, result.reason, now)
+    }
     const { era = reader.replica.era } = result
     if (reader.replica.version !== undefined && era < reader.replica.era) return this._readFailed(table, reader, 'older era', now)
+    this._outage.answered(now)
     this._readSucceeded(table, reader, now)
     this._access.readSucceeded()
     if (this._isFirstOfEra(reader, result.kind, era)) return this._eraStated(table, era, now)
@@ -170,7 +187,7 @@
     reader.needsFullRead = reader.replica.version === undefined
     if (changed.length > 0) {
       reader.nextReadAt = now + CHANGE_BATCH_PAUSE_MS
-      const changes = { table, from: before?.version ?? 0, to: reader.replica.version!, era, rows: changed }
+      const changes = { table, from: before?.version ?? 0, to: reader.replica.version!, era, rows: changed, ...this._outage.report(now) }
       // Other entries cannot merge changes across eras. The next heartbeat makes them pull the rows of a new one.
       if (before?.era === era) this._publisher.publish(changes, this._access.isStandby, now)
     } else {
@@ -182,6 +199,7 @@
   /** Handles a heartbeat, in which another entry reports the versions and ages of its replicas. */
   heartbeatReceived (from: Member, heartbeat: LeaderHeartbeat, now: number): void {
     this._publisher.relay(heartbeat)
+    this._outageReported(heartbeat.tables, heartbeat, now)
     let behind = false
     const isCurrent = heartbeat.tables.every(({ table, era = 0, ageMs }) => {
       return ageMs < this._access.timing.takeoverAgeMs && era >= this.replicaOf(table).era
@@ -201,6 +219,7 @@
   received (from: Member, message: RowsMessage, now: number): void {
     this._publisher.relay(message)
     const { table, rows, to, era = 0, ageMs } = message
+    this._outageReported([message], message, now)
     const { replica } = this._readers.get(table)!
     if (!replica.position || isLater({ era, version: message.from }, replica.position)) return this._pull.pull(from, now)
     this._mergeRows(table, rows, message.from, { era, version: to }, now - ageMs, now)
@@ -209,6 +228,7 @@
   /** Handles the replicas, or the changes to them, that another entry returned on request. */
   pulled (state: PeerState, now: number): void {
     this._pull.succeeded()
+    this._outageReported(state.tables, state, now)
     for (const { table, from, version, era = 0, ageMs, rows } of state.tables) {
       const reader = this._readers.get(table)!
       if (from !== undefined) this._mergeRows(table, rows, from, { era, version }, now - ageMs, now)
@@ -218,7 +238,7 @@
   }
 
   /** Returns the changes that the querying entry lacks, or complete tables where the changes are not known. */
-  stateFor (query: PeerStateQuery, now: number): ReplicaState[] {
+  stateFor (query: PeerStateQuery, now: number): PeerState {
     const states: ReplicaState[] = []
     for (const [table, { replica }] of this._readers) {
       if (replica.version === undefined) continue
@@ -233,7 +253,7 @@
         rows: changes ?? [...replica.rows.values()]
       })
     }
-    return states
+    return { tables: states, ...this._outage.report(now) }
   }
 
   /** The positions of this entry's replicas. */
@@ -321,7 +341,6 @@
   private _replaceRows (table: TableName, reader: TableReader, rows: StoredRow[], to: Position, at: number, now = at): StoredRow[] {
     const { replica } = reader
     const isRestored = replica.version !== undefined && to.era! > replica.era
-    this._reportRecovery(replica, at, now)
     const changed = replica.replace(rows, to, at)
     if (changed.length > 0) this._options.rowsChanged({ table, rows: changed, era: replica.era, isRestored }, now)
     return changed
@@ -329,16 +348,16 @@
 
   private _mergeRows (table: TableName, rows: StoredRow[], from: number, to: Position, at: number, now: number): StoredRow[] {
     const { replica } = this._readers.get(table)!
-    this._reportRecovery(replica, at, now)
     const merge = replica.merge(rows, from, to.version, at, to.era)
     if (merge.kind !== 'merged') return []
     if (merge.changed.length > 0) this._options.rowsChanged({ table, rows: merge.changed, era: replica.era, isRestored: false }, now)
     return merge.changed
   }
 
-  private _reportRecovery (replica: Replica, at: number, now: number): void {
-    const { outageAgeMs } = this._access.timing
-    if (replica.version !== undefined && at - replica.confirmedAt > outageAgeMs) this._options.storeRecovered(now)
+  /** Processes what another entry reports beside rows or positions. Those of an older era say nothing about the present store. */
+  private _outageReported (tables: ReadonlyArray<Pick<ReplicaStatus, 'ageMs' | 'era'>>, report: OutageReport, now: number): void {
+    const ages = tables.filter(({ era = 0 }) => era >= this.era).map(({ ageMs }) => ageMs)
+    if (ages.length > 0) this._outage.reported(report, now - Math.min(...ages), now)
   }
 
   private get _isLeader (): boolean {
@@ -354,6 +373,6 @@
       const { version, changedAt, era, confirmedAt } = replica
       if (version !== undefined) tables.push({ table, version, changedAt, era, ageMs: Math.round(now - confirmedAt) })
     }
-    this._publisher.sendHeartbeat(tables, reader)
+    this._publisher.sendHeartbeat(tables, reader, this._outage.report(now))
   }
 }
--- a/packages/entry/src/peers/datagramCodec.ts
+++ b/packages/entry/src/peers/datagramCodec.ts
@@ -27,10 +27,10 @@
   gossip: [['news', 'news']],
   compare: [['groups', 'numbers'], ['keys', 'numbers'], ['states', 'numbers']],
   want: [['keys', 'numbers']],
-  'watch-beat': [['tables', 'tables'], ['relay', 'relay?'], ['reader', 'string?']],
+  'watch-beat': [['tables', 'tables'], ['relay', 'relay?'], ['reader', 'string?'], ['recoveredMs', 'number?'], ['steadyMs', 'number?']],
   rows: [
     ['table', 'table'], ['from', 'number'], ['to', 'number'], ['ageMs', 'number'], ['rows', 'rows'],
-    ['relay', 'relay?'], ['era', 'number?']
+    ['relay', 'relay?'], ['era', 'number?'], ['recoveredMs', 'number?']
   ],
   place: [
     ['ask', 'number'], ['label', 'string'], ['service', 'string'], ['cell', 'string'], ['route', 'string'], ['purpose', 'purpose'],
--- a/packages/entry/src/peers/peerRouter.ts
+++ b/packages/entry/src/peers/peerRouter.ts
@@ -23,7 +23,9 @@
     era: eraSchema,
     ageMs: z.number(),
     rows: z.array(rowSchema)
-  }))
+  })),
+  recoveredMs: z.number().min(0).optional(),
+  steadyMs: z.number().min(0).optional()
 })
 
 const trpc = initTRPC.create()
--- a/packages/entry/src/store/storeExecutor.ts
+++ b/packages/entry/src/store/storeExecutor.ts
@@ -4,7 +4,7 @@
   EMPTY_ADDRESS_BOOK, TABLES, type AddressBook, type ReadTableEffect, type RolloutStatus, type TableName, type TableReadResult,
   type WriteRolloutEffect
 } from '@gooseberryspan/core'
-import type { RowName, Store } from '@gooseberryspan/store'
+import { StoreUnavailable, type RowName, type Store } from '@gooseberryspan/store'
 import { ADDRESS_BOOK_ROW, decodeAddressBook, encodeAddressBook } from './addressBookRow.js'
 
 /** Options of a `StoreExecutor`. */
@@ -94,7 +94,7 @@
       const result = yield * awaitPromise(this._readTable(effect))
       if (!result.ok && scope.stopping.closed) return
       if (!result.ok) this._options.failed(`read ${effect.table}`, result.error as Error)
-      this._options.read(effect.table, result.ok ? result.value : { kind: 'unavailable', reason: String(result.error) })
+      this._options.read(effect.table, result.ok ? result.value : unavailable(result.error))
     }
   }
 
@@ -114,3 +114,7 @@
     }
   }
 }
+
+function unavailable (error: unknown): TableReadResult {
+  return { kind: 'unavailable', reason: String(error), isRefusal: error instanceof StoreUnavailable && error.isRefusal }
+}
--- a/packages/store/src/httpClient.ts
+++ b/packages/store/src/httpClient.ts
@@ -50,7 +50,11 @@
     }
     this.requests += 1
     return new Promise((resolve, reject) => {
-      const fail = (error: Error): void => reject(new StoreUnavailable(error, '%s %s', method, path))
+      const fail = (error: Error): void => {
+        const unavailable = new StoreUnavailable(error, '%s %s', method, path)
+        unavailable.isRefusal = !call.reusedSocket
+        reject(unavailable)
+      }
       const headers = body === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }
       const call = request(new URL(path, this._options.url), { method, agent: this._agent, headers }, (answer) => {
         const { socket } = answer
@@ -61,7 +65,10 @@
         })
       })
       const timeoutMs = this._options.timeoutMs + extraMs
-      const timer = setTimeout(() => call.destroy(new Error(`no answer within ${timeoutMs} ms`)), timeoutMs)
+      const timer = setTimeout(() => {
+        this._closeIdleConnections()
+        call.destroy(new Error(`no answer within ${timeoutMs} ms`))
+      }, timeoutMs)
       call.on('error', (error) => {
         clearTimeout(timer)
         fail(error)
@@ -70,6 +77,13 @@
     })
   }
 
+  /** Closes connections that may be as silent as one that timed out, so that the next request opens a new one. */
+  private _closeIdleConnections (): void {
+    for (const sockets of Object.values(this._agent.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy()
+    }
+  }
+
   private _countBytes (socket: Socket): void {
     const total = socket.bytesRead + socket.bytesWritten
     this.bytes += total - (this._countedBytes.get(socket) ?? 0)
--- a/packages/store/src/httpStore.ts
+++ b/packages/store/src/httpStore.ts
@@ -94,7 +94,11 @@
   }
 
   private _parse<T> (answer: InterpretedResponse, read: () => T): T {
-    if (answer.meaning !== 'done') throw new StoreUnavailable('the store answered %d', answer.status)
+    if (answer.meaning !== 'done') {
+      const unavailable = new StoreUnavailable('the store answered %d', answer.status)
+      unavailable.isRefusal = answer.meaning === 'unavailable'
+      throw unavailable
+    }
     try {
       return read()
     } catch (error) {
--- a/tests/departedServers.spec.ts
+++ b/tests/departedServers.spec.ts
@@ -105,8 +105,8 @@
       })
     })
     let mayUse = true
-    const options = { dialect: new DefaultDialect('x'), connectMs: 1000, holdBytes: 1000, now: () => performance.now(), onMalformed: () => {} }
-    const client = new BackendClient({ ...options, mayUse: () => mayUse })
+    const options = { dialect: new DefaultDialect('x'), connectMs: 1000, holdBytes: 1000, now: () => performance.now() }
+    const client = new BackendClient({ ...options, onMalformed: () => {}, mayUse: () => mayUse })
     const exchange = {
       spec: { depth: 0, retrySpent: false, label: 'r', route: { repeatable: false } },
       method: 'POST',
--- /dev/null
+++ b/tests/storeOutages.spec.ts
@@ -0,0 +1,78 @@
+/** An outage of the store is told apart from disturbances of the entries, of their connections and of their links. */
+import { expect } from 'chai'
+import { ZONES, type Cluster, type Node } from './fixtures/cluster.js'
+import { cutOff, heal, removeServers, sendCalls, settledCluster } from './fixtures/departures.js'
+
+describe('removals of servers', function () {
+  // Guards against entries that take the silence of their own connections for an outage, in which servers may lose their registrations.
+  it('should take effect after open connections to the store have gone silent', () => {
+    for (let offsetMs = 0; offsetMs < 700; offsetMs += 50) {
+      const cluster = settledCluster(1)
+      cluster.time.runUntil(cluster.time.now + offsetMs)
+      for (const service of cluster.services) cluster.addBackend(`${service}-next`, service, ZONES[0]!)
+      cluster.time.runUntil(cluster.time.now + 100)
+      cluster.platformStore.silenceConnections(cluster.nodes.map(({ instance }) => instance))
+      cluster.time.runUntil(cluster.time.now + 100)
+      const removed = removeServers(cluster)
+      cluster.time.runUntil(cluster.time.now + 2900)
+      for (const { core } of cluster.nodes) expect(removed.filter((id) => core.catalog.get(id)), `${offsetMs} ms`).to.deep.equal([])
+    }
+  })
+
+  // Guards against an entry that takes its own pause, or a cut of its instance, for an outage of the store.
+  for (const [title, disturb] of [
+    ['was paused', (cluster: Cluster, node: Node) => cluster.pause(node, 4000)],
+    ['was cut off', (cluster: Cluster, node: Node) => {
+      cutOff(cluster, node)
+      cluster.time.after(4000, () => heal(cluster))
+    }]
+  ] as const) {
+    it(`should take effect at once at an entry that ${title}, when it has learned of them`, () => {
+      for (const node of settledCluster(4).nodes) {
+        const cluster = settledCluster(4)
+        const disturbed = cluster.nodes.find(({ instance }) => instance === node.instance)!
+        disturb(cluster, disturbed)
+        cluster.time.runUntil(cluster.time.now + 500)
+        const removed = removeServers(cluster)
+        cluster.time.runUntil(cluster.time.now + 3500 + 1500)
+        expect(removed.filter((id) => disturbed.core.catalog.get(id)), node.instance).to.deep.equal([])
+        for (const { core, instance } of cluster.nodes) expect(removed.filter((id) => core.catalog.get(id)), instance).to.deep.equal([])
+      }
+    })
+  }
+})
+
+describe('outage of the store', function () {
+  // Guards against servers in good health that are dropped because their registrations lapsed during the outage.
+  for (const outage of ['answers none', 'refuses all'] as const) {
+    it(`should leave lapsed registrations in force for two seconds, when the store ${outage}`, () => {
+      const cluster = settledCluster(5)
+      const { platformStore, nodes, time } = cluster
+      if (outage === 'refuses all') cluster.setStoreDown(true)
+      else for (const { instance } of nodes) platformStore.unanswered.add(instance)
+      time.runUntil(time.now + 5000)
+      const [back, gone] = cluster.services.map((service) => `${service}-${ZONES[0]}-0`) as [string, string]
+      for (const id of [back, gone]) cluster.store.remove('servers', id)
+      platformStore.unanswered.clear()
+      cluster.setStoreDown(false)
+      const known = (id: string): string[] => nodes.filter(({ core }) => core.catalog.get(id)).map(({ instance }) => instance)
+      const all = nodes.map(({ instance }) => instance)
+      time.runUntil(time.now + 1950)
+      expect([known(back), known(gone)]).to.deep.equal([all, all])
+      cluster.register(back)
+      time.runUntil(time.now + 3500)
+      expect([known(back), known(gone)]).to.deep.equal([all, []])
+    })
+  }
+
+  it('should not keep a fleet from serving that loses the store altogether', () => {
+    const cluster = settledCluster(6)
+    cluster.setStoreDown(true)
+    cluster.time.runUntil(cluster.time.now + 30_000)
+    sendCalls(cluster, cluster.nodes, 1000)
+    cluster.time.runUntil(cluster.time.now + 5000)
+    const answered = cluster.checker.calls.filter(({ outcomes }) => outcomes[0] === 'answered')
+    expect(answered.length).to.be.above(cluster.checker.calls.length / 2)
+    for (const { core } of cluster.nodes) expect(core.catalog.size).to.equal(cluster.backends.size)
+  })
+})
