Send a limited server a request now and then to learn that its limit is over

A limited server without a request for a second now gets the next first attempt that it can answer in time, within its limit as before.

serverLimits.spec "should end also for a server that the others can spare" fails without the change and passes with it.

--- a/packages/core/src/placement/candidateSelector.ts
+++ b/packages/core/src/placement/candidateSelector.ts
@@ -23,6 +23,9 @@
 /** A request waits for a busy server only if a free server would cost more by this factor. */
 const MIN_WAIT_GAIN_FACTOR = 1.15
 
+/** Only an answer shows that the limit of a server is over. One that has a limit and got no request for this long gets the next one. */
+const LIMIT_TEST_INTERVAL_MS = 1000
+
 /** Ranks the servers of one cell by the cost of sending a request to each. */
 export class CandidateSelector {
   private readonly _options: CandidateSelectorOptions
@@ -50,11 +53,22 @@
 
   /** Picks the candidate for a request. Under overload, a late request only gets a server that is too slow for requests in time. */
   pick ({ request, late }: WaitingRequest, candidates: readonly Candidate[], now: number): Candidate | undefined {
-    if (!late || !this._options.policy.isOverloaded(request, now)) return candidates[0]
+    if (!late || !this._options.policy.isOverloaded(request, now)) return this._limitTest(request, candidates, now) ?? candidates[0]
     const inTime = (responseMs: number): boolean => now + responseMs + DEADLINE_MARGIN_MS < request.deadlineAt
     return candidates.find(({ responseMs }) => responseMs > request.targetMs && inTime(responseMs))
   }
 
+  /** A server whose limit may be over, if it can answer a first attempt in time. */
+  private _limitTest (request: PlacementRequest, candidates: readonly Candidate[], now: number): Candidate | undefined {
+    if (request.purpose !== 'first' && request.purpose !== 'again') return undefined
+    for (const candidate of candidates) {
+      const { record, responseMs, full } = candidate
+      if (this._options.rates.perMs(record.entry) === undefined || full || !record.healthy) continue
+      if (now - record.lastUsedAt >= LIMIT_TEST_INTERVAL_MS && now + responseMs <= request.targetAt) return candidate
+    }
+    return undefined
+  }
+
   /** Whether waiting for a busy server gives a better response time than the best candidate. */
   isWorthWaiting (waiting: WaitingRequest, best: Candidate, waitingAhead: number, now: number): boolean {
     const { work, rates, isReserved } = this._options
--- a/tests/serverLimits.spec.ts
+++ b/tests/serverLimits.spec.ts
@@ -136,6 +136,23 @@
     expect(arrivals() - before).to.be.above(2000 / CALL_INTERVAL_MS * 0.9)
   })
 
+  // Guards against a limit that holds for as long as other servers are better for every request, since no answer ends it.
+  it('should end also for a server that the others can spare', () => {
+    const id = servers().find((each) => cluster.backends.get(each)!.entry.zone !== scheduler(0).zone)!
+    const press = (ms: number): void => {
+      for (let at = 0; at < ms; at += 20) cluster.time.after(at, () => void cluster.call(cluster.ready()[0]!, PATH, 'GET'))
+      run(ms)
+    }
+    cluster.limitServer(id, 2)
+    const { entry } = cluster.backends.get(id)!
+    for (let waitedMs = 0; scheduler(0).core.limits.of(entry) === undefined && waitedMs < 10_000; waitedMs += 500) press(500)
+    expect(scheduler(0).core.limits.of(entry)).to.equal(2)
+    press(4000)
+    cluster.limitServer(id, undefined)
+    press(4000)
+    expect(scheduler(0).core.limits.of(entry)).to.equal(undefined)
+  })
+
   it('should end with the incarnation of the server', () => {
     limitAll(0.5)
     press(5000)
