Check zones and pauses once more when a connection to a server is established

An entry that learned while it connected that a zone was evacuated, or that the server wants nothing from it for a while, sent the request all the same. departedServers.spec covers both.

--- a/packages/core/src/entryCore.ts
+++ b/packages/core/src/entryCore.ts
@@ -272,7 +272,8 @@
 
   /** Whether a request that still waits for a connection to a server may be sent there. */
   mayUse (server: RegisteredServer): boolean {
-    return this._unfitness(server) === undefined
+    const mayUseZone = this.declarations.zoneIsIn(server.zone)
+    return mayUseZone && this._unfitness(server) === undefined && !this.holds.isHeld(server, this._now)
   }
 
   private _unfitness (server: RegisteredServer): Unfitness | undefined {
--- a/tests/departedServers.spec.ts
+++ b/tests/departedServers.spec.ts
@@ -5,6 +5,7 @@
   Catalog, Outbox, SchedulerClient, SeededRandom, type Member, type RegisteredServer, type SchedulerClientOptions, type AttemptReport
 } from '@gooseberryspan/core'
 import { BackendClient, DefaultDialect, type Exchange } from '@gooseberryspan/entry'
+import { ZONES } from './fixtures/cluster.js'
 import { cutOff, heal, removeServers, schedulerOf, sendCalls, settledCluster, SETTLED_MS } from './fixtures/departures.js'
 
 describe('servers that have left', function () {
@@ -126,6 +127,20 @@
     client.close()
   })
 
+  // Guards against requests that wait for a connection while their server's zone is evacuated, or while it asks for a pause.
+  it('should not be used for a zone that was evacuated meanwhile, nor for a server that wants a pause', () => {
+    const cluster = settledCluster(1)
+    const { core } = cluster.nodes[0]!
+    const servers = [...cluster.backends.values()].map(({ entry }) => core.catalog.get(entry.id)!)
+    const usable = (): string[] => servers.filter((server) => core.mayUse(server)).map(({ id }) => id)
+    expect(usable()).to.have.length(servers.length)
+    const [held, ...others] = servers
+    core.holds.add(held!, 60_000, cluster.time.now)
+    cluster.setZone(ZONES[1]!, 'out')
+    cluster.time.runUntil(cluster.time.now + 2000)
+    expect(usable()).to.deep.equal(others.filter(({ zone }) => zone !== ZONES[1]).map(({ id }) => id))
+  })
+
   let backend: Server | undefined
   afterEach(() => backend?.close())
 })
