Give a server with a limit time to answer before a request is hedged

A hedge cancels the attempt at the limited server, and with it the only answer that can show that the limit is over; at a low limit the next attempt comes seconds later. Such a request is now hedged after half of the time to its target at the earliest.

--- a/packages/core/src/requests/requestHandler.ts
+++ b/packages/core/src/requests/requestHandler.ts
@@ -17,6 +17,7 @@
 import type { ServerHolds } from '../placement/serverHolds.js'
 import type { ServerLimits } from '../placement/serverLimits.js'
 import type { CellSelector } from './cellSelector.js'
+import { hedgeDelayMs, nextHedgeDelayMs } from './hedgeDelay.js'
 import { OpenConnections } from './openConnections.js'
 import type { PlannedStop } from './plannedStop.js'
 import { isRunningOn, newRequest, type SchedulerRequest, type Attempt, type OpenRequest, type RequestSpec } from './request.js'
@@ -40,11 +41,6 @@
   unfitness: (server: RegisteredServer) => Unfitness | undefined
 }
 
-/** The handler hedges, that is, asks for a second server, once an answer takes this many times as long as expected. */
-const HEDGE_DELAY_RATIO = 1.3
-const MIN_HEDGE_DELAY_MS = 20
-/** Delay before the next hedge after a scheduler refused one, as a fraction of the expected time. */
-const HEDGE_RETRY_DELAY_RATIO = 0.5
 /** Scheduler requests on behalf of one caller's request, counted over all purposes. */
 const MAX_SCHEDULER_REQUESTS = 8
 /** The handler starts no attempt when less time than this is left. */
@@ -342,7 +338,8 @@
       newConnection: !spec.route.repeatable,
       isRetryOrHedge: further
     })
-    if (this._mayHedge(request)) request.hedgeAt = now + Math.max(MIN_HEDGE_DELAY_MS, expectedMs * HEDGE_DELAY_RATIO)
+    const isLimited = this._options.limits.of(server) !== undefined
+    if (this._mayHedge(request)) request.hedgeAt = now + hedgeDelayMs(expectedMs, request.targetAt - now, isLimited)
   }
 
   private _handleOutcome (request: OpenRequest, attempt: Attempt, report: AttemptReport, status: number | undefined, now: number): void {
@@ -398,7 +395,7 @@
 
   private _postponeHedge (request: OpenRequest, now: number): void {
     for (const { expectedMs } of request.attempts.values()) {
-      request.hedgeAt = now + Math.max(MIN_HEDGE_DELAY_MS, expectedMs * HEDGE_RETRY_DELAY_RATIO)
+      request.hedgeAt = now + nextHedgeDelayMs(expectedMs)
     }
   }
 
