--- a/tests/descriptors.spec.ts
+++ b/tests/descriptors.spec.ts
@@ -97,6 +97,13 @@
     for (const { socket } of connections.splice(0)) socket.destroy()
   })
 
+  // Guards against an end with EMFILE, since Node opens the files of all modules that become known together at once.
+  it('should start with fewer descriptors than it has modules', async () => {
+    entry = new EntryProgram({ url: deployment.url, descriptors: 112 })
+    await entry.started()
+    expect(entry.isRunning).to.equal(true)
+  })
+
   it('should answer on all ports while callers hold more connections than it has descriptors', async () => {
     entry = new EntryProgram({ url: deployment.url, descriptors: DESCRIPTORS })
     const ports = await entry.started()
