--- a/tests/departedServers.spec.ts
+++ b/tests/departedServers.spec.ts
@@ -7,6 +7,7 @@
 import { BackendClient, DefaultDialect, type Exchange } from '@gooseberryspan/entry'
 import { ZONES } from './fixtures/cluster.js'
 import { cutOff, heal, removeServers, schedulerOf, sendCalls, settledCluster, SETTLED_MS } from './fixtures/departures.js'
+import { registeredServer } from './fixtures/records.js'
 
 describe('servers that have left', function () {
   // Guards against a scheduler that is cut off, knows nothing of removals and grants removed servers to the entries of its zone.
@@ -42,25 +43,12 @@
 
 describe('granted server', () => {
   const POSITION = { era: 1, version: 50 }
-  const server = (fields: Partial<RegisteredServer> = {}): RegisteredServer => ({
-    id: 's',
-    incarnation: '1',
-    service: 'orders',
-    host: 'h',
-    port: 1,
-    zone: 'z',
-    slots: 1,
-    state: 'ready',
-    coldMs: 0,
-    version: 20,
-    era: 1,
-    ...fields
-  })
+  const server = (changes: Partial<RegisteredServer> = {}): RegisteredServer => registeredServer('s1', { version: 20, era: 1, ...changes })
   let catalog: Catalog
 
   beforeEach(() => {
     catalog = new Catalog({ lapseMs: 1000, isDeclared: () => true })
-    catalog.apply([{ id: 's', version: 20, entry: server() }], 0)
+    catalog.apply([{ id: 's1', version: 20, entry: server() }], 0)
   })
 
   it('should be used while it is registered', () => {
@@ -68,10 +56,10 @@
   })
 
   it('should not be used once its registration was removed, nor once another start has replaced it', () => {
-    catalog.apply([{ id: 's', version: 40 }], 100)
+    catalog.apply([{ id: 's1', version: 40 }], 100)
     expect(catalog.unfitness(server(), POSITION)).to.equal('unregistered')
-    expect(catalog.removedMs('s', 350)).to.equal(250)
-    catalog.apply([{ id: 's', version: 45, entry: server({ version: 45, incarnation: '2' }) }], 200)
+    expect(catalog.removedMs('s1', 350)).to.equal(250)
+    catalog.apply([{ id: 's1', version: 45, entry: server({ version: 45, incarnation: '2' }) }], 200)
     expect(catalog.unfitness(server(), POSITION)).to.equal('unregistered')
     expect(catalog.unfitness(server({ version: 45, incarnation: '2' }), POSITION)).to.equal(undefined)
   })
@@ -80,7 +68,7 @@
   it('should be used if its registration is newer than what is known here: a start, a restart, another start with its id', () => {
     expect(catalog.unfitness(server({ id: 'new', version: 51 }), POSITION)).to.equal(undefined)
     expect(catalog.unfitness(server({ incarnation: '2', version: 51 }), POSITION)).to.equal(undefined)
-    catalog.apply([{ id: 's', version: 40 }], 100)
+    catalog.apply([{ id: 's1', version: 40 }], 100)
     expect(catalog.unfitness(server({ incarnation: '2', version: 51 }), POSITION)).to.equal(undefined)
     expect(catalog.unfitness(server({ id: 'new', version: 3, era: 2 }), POSITION)).to.equal(undefined)
     expect(catalog.unfitness(server({ id: 'new' }), undefined)).to.equal(undefined)
@@ -88,9 +76,9 @@
 
   // Guards against a server that stated in an answer that it is leaving, and whose registration was removed since.
   it('should not be used after it stated that it is leaving, also once unregistered', () => {
-    catalog.markLeaving('s', '1')
+    catalog.markLeaving('s1', '1')
     expect(catalog.unfitness(server(), POSITION)).to.equal('draining')
-    catalog.apply([{ id: 's', version: 40 }], 100)
+    catalog.apply([{ id: 's1', version: 40 }], 100)
     expect(catalog.unfitness(server({ version: 51 }), POSITION)).to.equal('draining')
     expect(catalog.unfitness(server({ version: 51, incarnation: '2' }), POSITION)).to.equal(undefined)
   })
--- a/tests/storeEras.spec.ts
+++ b/tests/storeEras.spec.ts
@@ -4,6 +4,7 @@
   Catalog, Declarations, Invariants, Outbox, Replica, RowApplier, type RegisteredServer, type Rollouts, type StoredRow, type TableReadResult
 } from '@gooseberryspan/core'
 import { Cluster, ZONES } from './fixtures/cluster.js'
+import { registeredServer } from './fixtures/records.js'
 import { restart } from './fixtures/simulatedServer.js'
 
 const SETTLED_MS = 5000
@@ -150,26 +151,14 @@
 })
 
 describe('catalog across eras', () => {
-  const server = (position: Partial<RegisteredServer>): RegisteredServer => ({
-    id: 's',
-    incarnation: '1000',
-    bornAt: 1000,
-    service: 'orders',
-    host: 'h',
-    port: 1,
-    zone: 'z',
-    slots: 1,
-    state: 'ready',
-    coldMs: 0,
-    version: 1,
-    era: 1,
-    ...position
-  })
+  const server = (changes: Partial<RegisteredServer>): RegisteredServer => {
+    return registeredServer('s1', { incarnation: '1000', bornAt: 1000, service: 'orders', era: 1, ...changes })
+  }
   let catalog: Catalog
 
   beforeEach(() => {
     catalog = new Catalog({ lapseMs: 1000, isDeclared: () => true })
-    catalog.apply([{ id: 's', version: 50, entry: server({ version: 50, sequence: 5, state: 'draining' }) }], 0)
+    catalog.apply([{ id: 's1', version: 50, entry: server({ version: 50, sequence: 5, state: 'draining' }) }], 0)
   })
 
   // Guards against earlier words of a server, written late or restored, that replace its later ones.
@@ -179,22 +168,22 @@
     ['a restored statement of an earlier start', { era: 2, version: 30, sequence: 90, incarnation: '500', bornAt: 500 }]
   ] as const) {
     it(`should not take ${title}`, () => {
-      catalog.apply([{ id: 's', version: row.version, entry: server(row) }], 1)
-      expect(catalog.get('s')?.state).to.equal('draining')
-      catalog.apply([{ id: 's', version: 70 }], 2)
-      catalog.apply([{ id: 's', version: row.version, entry: server(row) }], 3)
-      expect(catalog.get('s')).to.equal(undefined)
+      catalog.apply([{ id: 's1', version: row.version, entry: server(row) }], 1)
+      expect(catalog.get('s1')?.state).to.equal('draining')
+      catalog.apply([{ id: 's1', version: 70 }], 2)
+      catalog.apply([{ id: 's1', version: row.version, entry: server(row) }], 3)
+      expect(catalog.get('s1')).to.equal(undefined)
     })
   }
 
   it('should take a later statement of a server, also in a later era with a lower version', () => {
-    catalog.apply([{ id: 's', version: 70 }], 1)
-    catalog.apply([{ id: 's', version: 45, entry: server({ era: 2, version: 45, sequence: 6 }) }], 2)
-    expect(catalog.get('s')?.state).to.equal('ready')
+    catalog.apply([{ id: 's1', version: 70 }], 1)
+    catalog.apply([{ id: 's1', version: 45, entry: server({ era: 2, version: 45, sequence: 6 }) }], 2)
+    expect(catalog.get('s1')?.state).to.equal('ready')
   })
 
   it('should give an address to its newest registration, also in a later era with a lower version', () => {
-    catalog.apply([{ id: 's', version: 55, entry: server({ version: 55, sequence: 6 }) }], 1)
+    catalog.apply([{ id: 's1', version: 55, entry: server({ version: 55, sequence: 6 }) }], 1)
     catalog.apply([{ id: 'other', version: 20, entry: server({ id: 'other', service: 'returns', era: 2, version: 20 }) }], 2)
     expect(catalog.readyOf('orders')).to.deep.equal([])
     expect(catalog.readyOf('returns')).to.have.length(1)
